--- /dev/null
+++ b/cmd/samphirewick-control/internal/commander/identity.go
@@ -0,0 +1,66 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirewick/samphirewick/internal/journaler"
+	"github.com/samphirewick/samphirewick/internal/loader"
+	"github.com/samphirewick/samphirewick/internal/messenger"
+	"github.com/samphirewick/samphirewick/internal/replicator"
+)
+
+const (
+	// joinInterval is the pause before a newcomer asks again to be added.
+	joinInterval = 300 * time.Millisecond
+	// joinTimeout bounds one try to be added.
+	joinTimeout = 2 * time.Second
+)
+
+// loadIdentity returns the identity on the disk. In a cell that founds and
+// repairs itself an empty disk gets one: that of a founder while the cell is
+// founded, and that of a newcomer at any later time.
+func loadIdentity(disk journaler.Disk, settings loader.Control) (journaler.Identity, error) {
+	identity, err := journaler.ReadIdentity(disk)
+	if err == nil || len(settings.Cell.Seeds) == 0 || !errors.Is(err, fs.ErrNotExist) {
+		return identity, err
+	}
+	seeds := settings.Cell.Addresses()
+	if settings.Cell.Founding.IsOn() && slices.Contains(seeds, settings.Member.Address) {
+		return journaler.FormatFounder(disk, settings.Member.Address, seeds)
+	}
+	return journaler.Format(disk, settings.Member.Name, settings.Member.Address, false)
+}
+
+// join asks to be added to the cell whenever the member is not part of it.
+func (m *member) join(ctx context.Context) error {
+	if len(m.settings.Cell.Seeds) == 0 {
+		<-ctx.Done()
+		return nil
+	}
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		identity := m.coordinator.Identity()
+		isSelf := func(other replicator.Member) bool { return other.ID == identity.Member }
+		if slices.ContainsFunc(m.coordinator.MemberList(), isSelf) {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, joinTimeout)
+		var answer struct{}
+		call := messenger.JoinCall{ID: identity.Member, Address: m.settings.Member.Address}
+		err := m.control.Call(bounded, messenger.MethodJoin, call, &answer)
+		cancel()
+		m.log.Info("asked to join", zap.String("member", identity.Member), zap.Error(err))
+	}
+}
--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
 
+	"github.com/samphirewick/samphirewick/internal/caller"
 	"github.com/samphirewick/samphirewick/internal/controller"
 	"github.com/samphirewick/samphirewick/internal/coordinator"
 	"github.com/samphirewick/samphirewick/internal/courier"
@@ -28,6 +29,7 @@
 	"github.com/samphirewick/samphirewick/internal/responder"
 	"github.com/samphirewick/samphirewick/internal/runner"
 	"github.com/samphirewick/samphirewick/internal/transporter"
+	"github.com/samphirewick/samphirewick/platform"
 )
 
 const (
@@ -61,6 +63,8 @@
 	disk        journaler.Disk
 	tls         *tls.Config
 	courier     *courier.Courier
+	// control calls the leader; nil where the settings name no seeds.
+	control *caller.Caller
 	coordinator *coordinator.Coordinator
 	manager     *controller.Manager
 	responder   *responder.Responder
@@ -72,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	runner.LimitMemory(settings.Limits.MemoryMegabytes)
 	m := &member{settings: settings}
 	if m.log, err = logger.New(settings.Log.Level, "control", settings.Member.Name); err != nil {
 		return err
@@ -91,7 +96,7 @@
 
 // assemble builds the parts, each on those before it.
 func (m *member) assemble() error {
-	identity, err := journaler.ReadIdentity(m.disk)
+	identity, err := loadIdentity(m.disk, m.settings)
 	if err != nil {
 		return err
 	}
@@ -99,6 +104,9 @@
 	if err != nil {
 		return err
 	}
+	if seeds := m.settings.Cell.Addresses(); len(seeds) > 0 {
+		m.control = caller.New(seeds, m.tls)
+	}
 	self := replicator.Member{ID: identity.Member, Address: m.settings.Member.Address}
 	m.courier = courier.New(self, m.tls)
 	m.coordinator, err = coordinator.New(coordinator.Options{
@@ -112,6 +120,8 @@
 		FreeBytes:     m.disk.FreeBytes,
 		SaveIdentity:  func(i journaler.Identity) error { return journaler.WriteIdentity(m.disk, i) },
 		Send:          m.courier.Send,
+		Voters:        m.voters(),
+		Clock:         runner.BootClock,
 		Log:           m.log,
 	})
 	if err != nil {
@@ -126,6 +136,7 @@
 		ForgetAfter:   leases.Forget,
 		KeepJobs:      leases.KeepJobs,
 		Push:          newPush(),
+		Workflows:     m.workflowOptions(),
 	}, m.log)
 	m.responder = responder.New(m.coordinator, m.manager, responder.Options{
 		WorkerLease:   leases.Worker,
@@ -136,6 +147,22 @@
 	return nil
 }
 
+// voters is how many members vote; zero for all.
+func (m *member) voters() int {
+	if len(m.settings.Cell.Seeds) == 0 {
+		return 0
+	}
+	return 2*m.settings.Cell.Tolerated + 1
+}
+
+func (m *member) workflowOptions() *controller.WorkflowOptions {
+	if m.settings.Platform.Control == "" {
+		return nil
+	}
+	entries := &peers{tls: m.tls, clients: map[string]*transporter.Client{}}
+	return &controller.WorkflowOptions{Calls: platform.NewWorkers().Calls(), Advise: entries.advise}
+}
+
 func (m *member) coreConfig(id string) replicator.Config {
 	election := m.settings.Election
 	seed := fnv.New64a()
@@ -192,6 +219,9 @@
 		m.manager.Run,
 		m.coordinator.Run,
 		m.courier.Run,
+		m.servePlatform,
+		m.locate,
+		m.join,
 		m.measure,
 		func(ctx context.Context) error { return m.meter.Serve(ctx, admin, m.health()) },
 	)
@@ -199,6 +229,15 @@
 	return errors.Join(err, m.meter.Close())
 }
 
+// locate keeps the addresses of the other members up to date.
+func (m *member) locate(ctx context.Context) error {
+	if m.control == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return m.control.Run(ctx)
+}
+
 // health says that a member is ready while it knows a leader.
 func (m *member) health() meter.Health {
 	return meter.Health{
--- a/cmd/samphirewick-entry/internal/commander/run.go
+++ b/cmd/samphirewick-entry/internal/commander/run.go
@@ -32,6 +32,7 @@
 	"github.com/samphirewick/samphirewick/internal/sender"
 	"github.com/samphirewick/samphirewick/internal/tracker"
 	"github.com/samphirewick/samphirewick/internal/transporter"
+	"github.com/samphirewick/samphirewick/platform"
 )
 
 const (
@@ -70,6 +71,8 @@
 	relayer       *relayer.Relayer
 	meter         *meter.Meter
 	drainer       *drainer
+	// adviser is nil where the settings name no policy service.
+	adviser *platform.Adviser
 }
 
 func run(options runOptions) error {
@@ -77,6 +80,7 @@
 	if err != nil {
 		return err
 	}
+	runner.LimitMemory(settings.Limits.MemoryMegabytes)
 	e := &entry{settings: settings}
 	if e.log, err = logger.New(settings.Log.Level, "entry", settings.Instance.Name); err != nil {
 		return err
@@ -102,7 +106,7 @@
 // assemble builds the parts, each on those before it.
 func (e *entry) assemble() {
 	e.meter = meter.New("entry")
-	e.control = caller.New(e.settings.Control.Addresses, e.tls)
+	e.control = caller.New(e.settings.Control.Members(), e.tls)
 	e.dispatcher = dispatcher.New()
 	e.sender = sender.New()
 	e.forwarder = forwarder.New(e.tls)
@@ -122,6 +126,9 @@
 	e.router = router.New(e.tracker, e.dispatcher, e.sender.Send, e.forwarder.Forward)
 	e.relayer = relayer.New(e.renew)
 	e.drainer = newDrainer(e)
+	if e.settings.Platform.Advice != "" {
+		e.adviser = platform.NewAdviser(e.settings.Platform.Advice)
+	}
 }
 
 func (e *entry) newID() string {
@@ -171,6 +178,9 @@
 
 // handlePeer answers the calls of other entries.
 func (e *entry) handlePeer(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	if method == messenger.MethodAdvise {
+		return e.advise(ctx, params)
+	}
 	if method != messenger.MethodForward {
 		return nil, modeler.Refuse(modeler.CodeNotFound, "method", "%q is not known", method)
 	}
@@ -204,10 +214,13 @@
 	// Callers are served until the entry has drained, which needs all that follows.
 	err = runner.Run(ctx,
 		func(ctx context.Context) error { return e.serveCallers(ctx, listener) },
+		e.servePlatform,
 		func(ctx context.Context) error { return peerServer.Serve(ctx, peers) },
 		e.probe,
 		e.relayer.Run,
 		e.tracker.Run,
+		e.control.Run,
+		e.serveReady,
 		e.measure,
 		func(ctx context.Context) error { return e.meter.Serve(ctx, admin, e.health()) },
 	)
--- /dev/null
+++ b/internal/adviser/adviser.go
@@ -0,0 +1,300 @@
+// Package adviser learns from an outside policy service which workers may run
+// a step. The service answers one call at a time for each calling machine, so
+// the calls are spread over the entries.
+package adviser
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirewick/samphirewick/internal/modeler"
+)
+
+const (
+	// maxWorkersAsked bounds the workers of one call; the service takes no more.
+	maxWorkersAsked = 100
+	// maxBacklog is how many calls may wait for one entry, the one in work among them.
+	maxBacklog = 3
+	// answerGrace is how long after its expected time an answer may still come.
+	answerGrace = 1500 * time.Millisecond
+	// avoidTime is how long an entry that did not answer is not asked again.
+	avoidTime = time.Second
+	// ticketMargin is the age before its end at which a ticket is not used any
+	// more: a start has to be committed and sent first.
+	ticketMargin = 150 * time.Millisecond
+	// firstShare is the share of workers expected to be permitted while nothing is learnt.
+	firstShare = 0.5
+	// learningRate is the weight of one answer in the learnt share.
+	learningRate = 0.1
+	// leastShare bounds the learnt share from below, and with it how many are asked.
+	leastShare = 0.1
+	// spareAsked is how many workers are asked beyond those expected to be needed.
+	spareAsked = 3
+)
+
+// StepName names one occurrence of one step.
+type StepName struct {
+	Workflow   string
+	Occurrence int
+	Step       int
+}
+
+// Answer is what the policy service says of a step.
+type Answer struct {
+	// Tickets holds the ticket of each worker that may run the step, by worker id.
+	Tickets map[string]string
+	// Validity is how long the tickets may be used from the answer on.
+	Validity time.Duration
+}
+
+// Options are the seams of an adviser.
+type Options struct {
+	// Ask lets the entry at the address ask the service. Never nil.
+	Ask func(ctx context.Context, address string, step StepName, workers []string) (Answer, error)
+	// Entries returns the addresses of the entries. Never nil.
+	Entries func() []string
+	// Answered is called after each answer. Never nil.
+	Answered func()
+	Now      func() time.Duration
+	Log      *zap.Logger
+}
+
+// verdict is what is known of one worker session and one step.
+type verdict struct {
+	permitted bool
+	ticket    string
+	// until is when the ticket ends, by Now.
+	until time.Duration
+}
+
+// record is what is known of one step.
+type record struct {
+	// verdicts are by session key; whether a worker is permitted never changes.
+	verdicts map[string]verdict
+	asking   bool
+}
+
+// entry is what is known of one entry.
+type entry struct {
+	// free is when the calls given to the entry so far should be answered.
+	free time.Duration
+	// waiting counts the calls that are not answered.
+	waiting int
+	// avoided is until when the entry is not asked.
+	avoided time.Duration
+}
+
+// Adviser knows what the service has said. It is safe for concurrent use.
+type Adviser struct {
+	options Options
+
+	mutex   sync.Mutex
+	records map[StepName]*record
+	entries map[string]*entry
+	// shares are the learnt shares of permitted workers by queue.
+	shares map[string]float64
+}
+
+// New returns an adviser that knows nothing.
+func New(options Options) *Adviser {
+	return &Adviser{
+		options: options,
+		records: map[StepName]*record{},
+		entries: map[string]*entry{},
+		shares:  map[string]float64{},
+	}
+}
+
+// Ticket returns the ticket with which the session may run the step now.
+func (a *Adviser) Ticket(step StepName, session string) (string, bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	r, ok := a.records[step]
+	if !ok {
+		return "", false
+	}
+	v := r.verdicts[session]
+	return v.ticket, v.permitted && v.until > a.options.Now()
+}
+
+// Standing is what is known of a session and a step.
+type Standing int
+
+// The standings.
+const (
+	// StandingUnknown sessions have not been asked about.
+	StandingUnknown Standing = iota
+	// StandingPermitted sessions may run the step; their ticket may have ended.
+	StandingPermitted
+	// StandingForbidden sessions never run the step.
+	StandingForbidden
+)
+
+// Standing returns what is known of the session and the step.
+func (a *Adviser) Standing(step StepName, session string) Standing {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	r, ok := a.records[step]
+	if !ok {
+		return StandingUnknown
+	}
+	v, ok := r.verdicts[session]
+	switch {
+	case !ok:
+		return StandingUnknown
+	case v.permitted:
+		return StandingPermitted
+	default:
+		return StandingForbidden
+	}
+}
+
+// Revoke forgets the ticket of a session after it was refused.
+func (a *Adviser) Revoke(step StepName, session string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if r, ok := a.records[step]; ok {
+		v := r.verdicts[session]
+		v.until = 0
+		r.verdicts[session] = v
+	}
+}
+
+// Forget drops what is known of the steps of a workflow.
+func (a *Adviser) Forget(workflow string, occurrences, steps int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for o := range max(1, occurrences) {
+		for s := range steps {
+			delete(a.records, StepName{workflow, o, s})
+		}
+	}
+}
+
+// IsAsking reports whether a call about the step is not answered yet.
+func (a *Adviser) IsAsking(step StepName) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	r, ok := a.records[step]
+	return ok && r.asking
+}
+
+// Want is how many sessions to ask about so that the needed number is expected
+// to be permitted.
+func (a *Adviser) Want(queue string, needed int) int {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	share, ok := a.shares[queue]
+	if !ok {
+		share = firstShare
+	}
+	return min(maxWorkersAsked, int(float64(needed)/max(leastShare, share))+spareAsked)
+}
+
+// Ask asks about sessions for a step in the background. It reports false where
+// every entry has enough to ask.
+func (a *Adviser) Ask(ctx context.Context, queue modeler.Queue, step StepName, sessions []modeler.Session) bool {
+	sessions = sessions[:min(len(sessions), maxWorkersAsked)]
+	expected := queue.Permit.BaseDelay + time.Duration(len(sessions))*queue.Permit.DelayPerWorker
+	addresses := a.options.Entries()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	address, ok := a.choose(addresses)
+	if !ok {
+		return false
+	}
+	r, ok := a.records[step]
+	if !ok {
+		r = &record{verdicts: map[string]verdict{}}
+		a.records[step] = r
+	}
+	r.asking = true
+	e := a.entries[address]
+	e.free = max(e.free, a.options.Now()) + expected
+	e.waiting++
+	timeout := e.free - a.options.Now() + answerGrace
+	go a.call(ctx, queue, step, address, slices.Clone(sessions), timeout)
+	return true
+}
+
+// choose returns the entry that is free first.
+func (a *Adviser) choose(addresses []string) (string, bool) {
+	now := a.options.Now()
+	best, found := "", false
+	for _, address := range addresses {
+		e, ok := a.entries[address]
+		if !ok {
+			e = &entry{}
+			a.entries[address] = e
+		}
+		if e.avoided > now || e.waiting >= maxBacklog {
+			continue
+		}
+		if !found || max(now, e.free) < max(now, a.entries[best].free) {
+			best, found = address, true
+		}
+	}
+	return best, found
+}
+
+func (a *Adviser) call(
+	ctx context.Context, queue modeler.Queue, step StepName, address string, sessions []modeler.Session, timeout time.Duration,
+) {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	workers := make([]string, len(sessions))
+	for i, s := range sessions {
+		workers[i] = s.Worker
+	}
+	asked := a.options.Now()
+	answer, err := a.options.Ask(bounded, address, step, workers)
+	a.take(queue, step, address, sessions, answer, err)
+	if err != nil && ctx.Err() == nil {
+		a.options.Log.Info("advice not given", zap.String("workflow", step.Workflow), zap.Int("step", step.Step),
+			zap.String("entry", address), zap.Duration("after", a.options.Now()-asked), zap.Error(err))
+	}
+	a.options.Answered()
+}
+
+func (a *Adviser) take(
+	queue modeler.Queue, step StepName, address string, sessions []modeler.Session, answer Answer, err error,
+) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := a.options.Now()
+	e := a.entries[address]
+	e.waiting--
+	if e.waiting == 0 {
+		e.free = now
+	}
+	r, ok := a.records[step]
+	if ok {
+		r.asking = false
+	}
+	if err != nil {
+		e.avoided = now + avoidTime
+		return
+	}
+	for _, s := range sessions {
+		ticket, permitted := answer.Tickets[s.Worker]
+		if ok {
+			r.verdicts[s.Key()] = verdict{permitted: permitted, ticket: ticket, until: now + answer.Validity - ticketMargin}
+		}
+	}
+	a.learn(queue.Name, len(answer.Tickets), len(sessions))
+}
+
+func (a *Adviser) learn(queue string, permitted, asked int) {
+	if asked == 0 {
+		return
+	}
+	share, ok := a.shares[queue]
+	if !ok {
+		share = firstShare
+	}
+	a.shares[queue] = share + learningRate*(float64(permitted)/float64(asked)-share)
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -35,7 +35,9 @@
 
 	mutex   sync.Mutex
 	clients map[string]*transporter.Client
-	// addresses are those of the members that are known, from the settings.
+	// seeds are the addresses from the settings.
+	seeds []string
+	// addresses are those of the members that are known, and the seeds.
 	addresses []string
 	// leader is the address that answered last, or was named by one that did not lead.
 	leader string
@@ -48,6 +50,7 @@
 	return &Caller{
 		tls:       tlsConfig,
 		clients:   map[string]*transporter.Client{},
+		seeds:     addresses,
 		addresses: addresses,
 		leader:    addresses[0],
 		silent:    map[string]time.Time{},
@@ -123,10 +126,15 @@
 func (c *Caller) client() *transporter.Client {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	client, ok := c.clients[c.leader]
+	return c.clientOf(c.leader)
+}
+
+// clientOf returns the client of the address; the mutex is held.
+func (c *Caller) clientOf(address string) *transporter.Client {
+	client, ok := c.clients[address]
 	if !ok {
-		client = transporter.NewClient(c.leader, c.tls)
-		c.clients[c.leader] = client
+		client = transporter.NewClient(address, c.tls)
+		c.clients[address] = client
 	}
 	return client
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -28,6 +28,7 @@
 		{"ownership", every(ownershipInterval, l.assignOwners)},
 		{"placement", l.placeTasks},
 		{"delivery", l.deliver},
+		{"workflows", l.runWorkflows},
 		{"retention", every(retentionInterval, l.retain)},
 	}
 }
@@ -77,6 +78,8 @@
 	KeepJobs time.Duration
 	// Push sends an assignment to the worker at the address. Never nil.
 	Push func(ctx context.Context, address string, body any) error
+	// Workflows is nil where no worker takes its orders by call.
+	Workflows *WorkflowOptions
 }
 
 // NewManager returns a manager of the member's controllers.
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -27,6 +27,8 @@
 	options     Options
 	log         *zap.Logger
 	since       time.Duration
+	// term is that of the leadership; it fences orders to workers.
+	term uint64
 
 	mutex   sync.Mutex
 	workers map[string]lease
@@ -64,6 +66,7 @@
 		options:     options,
 		log:         log,
 		since:       leadership.Since,
+		term:        leadership.Term,
 		workers:     map[string]lease{},
 		entries:     map[string]entryLease{},
 		pushes:      make(chan string, pushRing),
--- /dev/null
+++ b/internal/controller/workflows.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirewick/samphirewick/internal/adviser"
+	"github.com/samphirewick/samphirewick/internal/reducer"
+	"github.com/samphirewick/samphirewick/internal/scheduler"
+	"github.com/samphirewick/samphirewick/internal/supervisor"
+)
+
+// WorkflowOptions are the seams of the duties about workflows.
+type WorkflowOptions struct {
+	// Calls reach workers. Never nil.
+	Calls supervisor.Calls
+	// Advise lets the entry at the address ask the policy service. Never nil.
+	Advise func(ctx context.Context, address string, step adviser.StepName, workers []string) (adviser.Answer, error)
+}
+
+// runWorkflows supervises workers that take their orders by call, and starts
+// the tasks of workflows on them.
+func (l *Lead) runWorkflows(ctx context.Context) error {
+	o := l.options.Workflows
+	if o == nil {
+		return nil
+	}
+	propose := func(ctx context.Context, c reducer.Command) (reducer.Result, error) {
+		return l.coordinator.Propose(ctx, c)
+	}
+	workers := supervisor.New(supervisor.Options{
+		Calls:   o.Calls,
+		Epoch:   l.term,
+		Since:   l.since,
+		Now:     l.coordinator.Now,
+		State:   l.coordinator.State,
+		Propose: propose,
+		Confirm: func() bool { return l.coordinator.Confirm() && l.coordinator.Leadership().Term == l.term },
+		Log:     l.log,
+	})
+	var starter *scheduler.Scheduler
+	permits := adviser.New(adviser.Options{
+		Ask:      o.Advise,
+		Entries:  l.entryAddresses,
+		Answered: func() { starter.Wake() },
+		Now:      l.coordinator.Now,
+		Log:      l.log,
+	})
+	starter = scheduler.New(scheduler.Options{
+		Supervisor: workers,
+		Adviser:    permits,
+		Feed:       l.coordinator.TaskFeed,
+		State:      l.coordinator.State,
+		Propose:    propose,
+		Wall:       time.Now,
+		Log:        l.log,
+	})
+	supervised := make(chan error, 1)
+	go func() { supervised <- workers.Run(ctx) }()
+	err := starter.Run(ctx)
+	if ended := <-supervised; err == nil {
+		err = ended
+	}
+	return err
+}
+
+func (l *Lead) entryAddresses() []string {
+	var addresses []string
+	for _, e := range reducer.Values(l.coordinator.State().Entries) {
+		if !e.Leaving {
+			addresses = append(addresses, e.Address)
+		}
+	}
+	return addresses
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -30,8 +30,13 @@
 	tickInterval = 20 * time.Millisecond
 	// catchUpLag is how many entries behind a newcomer may be to get its vote.
 	catchUpLag = 100
-	// promoteInterval is how often newcomers are looked at.
-	promoteInterval = 500 * time.Millisecond
+	// tendInterval is how often the membership is looked at.
+	tendInterval = 200 * time.Millisecond
+	// replaceAfter is how long a voter is silent before a member that has caught
+	// up takes its place.
+	replaceAfter = 2500 * time.Millisecond
+	// forgetAfter is how long a member without a vote is silent before it is removed.
+	forgetAfter = 20 * time.Second
 	// diskCheckInterval is how often the room on the disk is looked at.
 	diskCheckInterval = time.Second
 )
@@ -53,7 +58,12 @@
 	SaveIdentity func(journaler.Identity) error
 	// Send delivers messages to the member; it may drop them and must not block. Never nil.
 	Send func(to replicator.Member, cell string, messages []replicator.Message)
-	Log  *zap.Logger
+	// Voters is how many members vote where there are enough; zero for all.
+	Voters int
+	// Clock is a steady clock that goes on while the machine is suspended; nil
+	// takes that of the runtime.
+	Clock func() time.Duration
+	Log   *zap.Logger
 }
 
 // Leadership is what is known of who leads.
@@ -95,7 +105,7 @@
 	pending       map[uint64]pending
 	snapshotting  bool
 	lastSnapshot  uint64
-	nextPromote   time.Duration
+	nextTend      time.Duration
 	nextDiskCheck time.Duration
 }
 
@@ -152,7 +162,7 @@
 		ViewFeed:     watcher.NewFeed[reducer.Touch](feedSize, state.Revision),
 		TaskFeed:     watcher.NewFeed[reducer.Touch](feedSize, state.Revision),
 	}
-	c.core = replicator.New(options.Core, options.Restored, 0)
+	c.core = replicator.New(options.Core, options.Restored, c.Now())
 	c.identity.Store(&options.Identity)
 	c.state.Store(&state)
 	c.leadership.Store(&Leadership{})
@@ -161,7 +171,12 @@
 }
 
 // Now is the coordinator's monotonic clock.
-func (c *Coordinator) Now() time.Duration { return time.Since(c.started) }
+func (c *Coordinator) Now() time.Duration {
+	if c.options.Clock != nil {
+		return c.options.Clock()
+	}
+	return time.Since(c.started)
+}
 
 // State returns the latest state that was applied here. It may be old unless
 // Confirm holds after it was read.
@@ -203,7 +218,7 @@
 			}
 		case <-ticker.C:
 			c.core.Tick(c.Now())
-			c.promote()
+			c.tendMembers()
 			c.checkDisk()
 		}
 		if err := c.carryOut(); err != nil {
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -105,6 +105,16 @@
 // Members returns the membership; lags are known on the leader alone.
 func (c *Coordinator) Members() []MemberStatus { return *c.members.Load() }
 
+// MemberList returns the membership without what only the leader knows.
+func (c *Coordinator) MemberList() []replicator.Member {
+	statuses := c.Members()
+	members := make([]replicator.Member, len(statuses))
+	for i, s := range statuses {
+		members[i] = s.Member
+	}
+	return members
+}
+
 func (c *Coordinator) publishMembers() {
 	var members []MemberStatus
 	for _, m := range c.core.Members() {
@@ -144,27 +154,6 @@
 	c.pending[index] = pending{c.core.Term(), p.answer}
 }
 
-// promote gives one newcomer that has caught up its vote.
-func (c *Coordinator) promote() {
-	now := c.Now()
-	if c.core.Role() != replicator.RoleLeader || now < c.nextPromote {
-		return
-	}
-	c.nextPromote = now + promoteInterval
-	members := slices.Clone(c.core.Members())
-	for i, m := range members {
-		lag, active := c.core.Lag(m.ID)
-		if m.Voter || !active || lag > catchUpLag {
-			continue
-		}
-		members[i].Voter = true
-		if _, err := c.core.ProposeMembers(members); err == nil {
-			c.options.Log.Info("member promoted", zap.String("member", m.ID))
-		}
-		return
-	}
-}
-
 // sendStrangers answers members that this one does not know yet, such as the
 // leader that has just added it.
 func (c *Coordinator) sendStrangers(messages []replicator.Message) {
--- a/internal/journaler/identity.go
+++ b/internal/journaler/identity.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"io/fs"
+	"slices"
+	"strings"
 
 	"github.com/google/uuid"
 	"github.com/samber/oops"
@@ -27,6 +29,9 @@
 	// Founder is the first member of a new cell, and at first its only voter.
 	Founder bool   `json:"founder"`
 	Address string `json:"address"`
+	// Founders are the first members of a cell that several founded together;
+	// empty where it had one founder.
+	Founders []replicator.Member `json:"founders,omitempty"`
 }
 
 // Base returns the membership before the first entry of the log.
@@ -34,9 +39,36 @@
 	if !i.Founder {
 		return nil
 	}
+	if len(i.Founders) > 0 {
+		return i.Founders
+	}
 	return []replicator.Member{{ID: i.Member, Address: i.Address, Voter: true}}
 }
 
+// FormatFounder gives an empty data folder the identity of one of several
+// founders of a cell. Every founder derives the same cell from the same
+// addresses, so that they need not speak before they vote. It must not be used
+// on a folder that was lost since the cell was founded.
+func FormatFounder(disk Disk, address string, founders []string) (Identity, error) {
+	sorted := slices.Clone(founders)
+	slices.Sort(sorted)
+	cell := uuid.NewSHA1(uuid.NameSpaceURL, []byte(strings.Join(sorted, " ")))
+	i := Identity{Schema: identitySchema, Cell: cell.String(), Founder: true, Address: address}
+	for _, a := range sorted {
+		m := replicator.Member{ID: "founder-" + strings.ReplaceAll(a, ":", "-"), Address: a, Voter: true}
+		if a == address {
+			i.Member = m.ID
+		}
+		i.Founders = append(i.Founders, m)
+	}
+	if i.Member == "" {
+		return i, oops.Code(CodeIdentity).Errorf("%s is none of the founders %v", address, sorted)
+	}
+	return i, WriteIdentity(disk, i)
+}
+
+const identitySchema = 1
+
 // Format gives an empty data folder its identity: as founder of a new cell, or
 // as a newcomer that a cell has yet to add.
 func Format(disk Disk, name, address string, founder bool) (Identity, error) {
@@ -49,9 +81,9 @@
 			return Identity{}, oops.Code(CodeIdentity).Errorf("the data folder is not empty: it holds %s", n)
 		}
 	}
-	const schema, shortID = 1, 8
+	const shortID = 8
 	i := Identity{
-		Schema:  schema,
+		Schema:  identitySchema,
 		Member:  name + "-" + uuid.NewString()[:shortID],
 		Founder: founder,
 		Address: address,
@@ -79,7 +111,7 @@
 	var i Identity
 	data, err := disk.Read(identityFile)
 	if errors.Is(err, fs.ErrNotExist) {
-		return i, oops.Code(CodeIdentity).Errorf("the data folder has no identity; format it first")
+		return i, oops.Code(CodeIdentity).Wrapf(err, "the data folder has no identity; format it first")
 	}
 	if err != nil {
 		return i, diskError(err, "read", identityFile)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 )
 
@@ -27,6 +28,55 @@
 	Leases   Leases          `ini:"leases"`
 	Journal  ControlJournal  `ini:"journal"`
 	Election ControlElection `ini:"election"`
+	Cell     Cell            `ini:"cell"`
+	Platform Platform        `ini:"platform"`
+	Limits   ControlLimits   `ini:"limits"`
+}
+
+// Cell are the settings of a cell that founds and repairs itself; without
+// seeds, an operator formats data folders and adds members.
+type Cell struct {
+	// Seeds are addresses of some members, whatever their port.
+	Seeds []string `ini:"seeds"`
+	// Port is that of every member, and replaces the port of Seeds.
+	Port int `ini:"port"`
+	// Founding says that the cell has not existed before, so that the seeds found it.
+	Founding Switch `ini:"founding"`
+	// Tolerated is how many members may be lost at once; twice as many and one vote.
+	Tolerated int `ini:"tolerated"`
+}
+
+// Addresses returns the addresses at which the seeds take calls.
+func (c Cell) Addresses() []string { return withPort(c.Seeds, c.Port) }
+
+// withPort replaces the port of each address.
+func withPort(addresses []string, port int) []string {
+	replaced := make([]string, len(addresses))
+	for i, a := range addresses {
+		replaced[i] = a
+		if host, _, err := net.SplitHostPort(a); err == nil && port > 0 {
+			replaced[i] = net.JoinHostPort(host, strconv.Itoa(port))
+		}
+	}
+	return replaced
+}
+
+// Platform are the addresses of the adapter to the platform; what is empty is off.
+type Platform struct {
+	// Front is where the platform's balancer sends callers.
+	Front string `ini:"front"`
+	// Ready is where the balancer asks whether the instance takes callers.
+	Ready string `ini:"ready"`
+	// Control is where workers and operators call.
+	Control string `ini:"control"`
+	// Advice is the address of the policy service.
+	Advice string `ini:"advice"`
+}
+
+// ControlLimits bound what a member uses.
+type ControlLimits struct {
+	// MemoryMegabytes bounds the process; zero for no bound.
+	MemoryMegabytes int `ini:"memoryMegabytes"`
 }
 
 // ControlMember says where a member is.
@@ -73,6 +123,7 @@
 	Control  EntryControl  `ini:"control"`
 	Callers  EntryCallers  `ini:"callers"`
 	Limits   EntryLimits   `ini:"limits"`
+	Platform Platform      `ini:"platform"`
 }
 
 // EntryInstance says where an entry is.
@@ -95,6 +146,8 @@
 // EntryControl says where control is.
 type EntryControl struct {
 	Addresses []string `ini:"addresses"`
+	// Port, where it is set, replaces the port of Addresses.
+	Port int `ini:"port"`
 	// Cell pins the cell that the entry belongs to; empty takes the first one.
 	Cell string `ini:"cell"`
 }
@@ -116,8 +169,13 @@
 	Connections     int           `ini:"connections"`
 	Requests        int           `ini:"requests"`
 	ReadTimeout     time.Duration `ini:"readTimeout"`
+	// MemoryMegabytes bounds the process; zero for no bound.
+	MemoryMegabytes int `ini:"memoryMegabytes"`
 }
 
+// Members returns the addresses at which members of control take calls.
+func (c EntryControl) Members() []string { return withPort(c.Addresses, c.Port) }
+
 // LoadControl reads the settings of samphirewick-control.
 func LoadControl(path string) (Control, error) {
 	s := defaultControl()
@@ -181,6 +239,9 @@
 		needWithin("journal", "reserveMegabytes", s.Journal.ReserveMegabytes, 0, 1000000),
 		needAtLeast("election", "heartbeat", s.Election.Heartbeat, 10*time.Millisecond),
 		needAtLeast("election", "timeout", s.Election.Timeout, 3*s.Election.Heartbeat),
+		s.Cell.validate(),
+		s.Platform.validate(),
+		needWithin("limits", "memoryMegabytes", s.Limits.MemoryMegabytes, 0, 1000000),
 	)
 }
 
@@ -202,9 +263,43 @@
 		needWithin("limits", "connections", s.Limits.Connections, 1, 100000),
 		needWithin("limits", "requests", s.Limits.Requests, 1, 100000),
 		needAtLeast("limits", "readTimeout", s.Limits.ReadTimeout, time.Second),
+		needWithin("limits", "memoryMegabytes", s.Limits.MemoryMegabytes, 0, 1000000),
+		needWithin("control", "port", s.Control.Port, 0, maxPort),
+		s.Platform.validate(),
+	)
+}
+
+const maxPort = 65535
+
+func (c Cell) validate() error {
+	if len(c.Seeds) == 0 {
+		return nil
+	}
+	if c.Founding != SwitchOn && c.Founding != SwitchOff {
+		return fault("cell", "founding", "missing; say on or off")
+	}
+	return firstError(
+		needAddresses("cell", "seeds", c.Seeds),
+		needWithin("cell", "port", c.Port, 0, maxPort),
+		needWithin("cell", "tolerated", c.Tolerated, 0, 10),
 	)
 }
 
+func (p Platform) validate() error {
+	addresses := []struct{ key, address string }{
+		{"front", p.Front}, {"ready", p.Ready}, {"control", p.Control}, {"advice", p.Advice},
+	}
+	for _, a := range addresses {
+		if a.address == "" {
+			continue
+		}
+		if err := needAddress("platform", a.key, a.address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/internal/reducer/command.go
+++ b/internal/reducer/command.go
@@ -12,26 +12,33 @@
 
 // The kinds of commands.
 const (
-	KindNoop           Kind = "noop"
-	KindRegisterEntry  Kind = "registerEntry"
-	KindExpireEntries  Kind = "expireEntries"
-	KindAnnounceWorker Kind = "announceWorker"
-	KindLeaveWorker    Kind = "leaveWorker"
-	KindLoseWorkers    Kind = "loseWorkers"
-	KindForgetWorkers  Kind = "forgetWorkers"
-	KindDrainWorker    Kind = "drainWorker"
-	KindAssignOwners   Kind = "assignOwners"
-	KindReleaseOwners  Kind = "releaseOwners"
-	KindSubmitJob      Kind = "submitJob"
-	KindCancelJobs     Kind = "cancelJobs"
-	KindStartTasks     Kind = "startTasks"
-	KindReportTasks    Kind = "reportTasks"
-	KindPreemptTasks   Kind = "preemptTasks"
-	KindApplyDocuments Kind = "applyDocuments"
-	KindRecordRequests Kind = "recordRequests"
-	KindSettleRequests Kind = "settleRequests"
-	KindRetain         Kind = "retain"
-	KindAuditMember    Kind = "auditMember"
+	KindNoop            Kind = "noop"
+	KindRegisterEntry   Kind = "registerEntry"
+	KindExpireEntries   Kind = "expireEntries"
+	KindAnnounceWorker  Kind = "announceWorker"
+	KindLeaveWorker     Kind = "leaveWorker"
+	KindLoseWorkers     Kind = "loseWorkers"
+	KindForgetWorkers   Kind = "forgetWorkers"
+	KindDrainWorker     Kind = "drainWorker"
+	KindAssignOwners    Kind = "assignOwners"
+	KindReleaseOwners   Kind = "releaseOwners"
+	KindSubmitJob       Kind = "submitJob"
+	KindCancelJobs      Kind = "cancelJobs"
+	KindStartTasks      Kind = "startTasks"
+	KindReportTasks     Kind = "reportTasks"
+	KindPreemptTasks    Kind = "preemptTasks"
+	KindApplyDocuments  Kind = "applyDocuments"
+	KindRecordRequests  Kind = "recordRequests"
+	KindSettleRequests  Kind = "settleRequests"
+	KindRetain          Kind = "retain"
+	KindAuditMember     Kind = "auditMember"
+	KindSubmitWorkflow  Kind = "submitWorkflow"
+	KindCancelWorkflow  Kind = "cancelWorkflow"
+	KindStartAttempts   Kind = "startAttempts"
+	KindEndAttempts     Kind = "endAttempts"
+	KindAnnounceSession Kind = "announceSession"
+	KindEndSessions     Kind = "endSessions"
+	KindApplyTable      Kind = "applyTable"
 )
 
 // Command is one record of the replicated log. Only the field that belongs to
@@ -59,6 +66,13 @@
 	Requests  []modeler.RequestRecord `json:"requests,omitempty"`
 	Before    time.Time               `json:"before,omitzero"`
 	Member    *MemberChange           `json:"member,omitempty"`
+	// Workflow names only the workflow and its queue where it is cancelled.
+	Workflow *modeler.WorkflowSpec `json:"workflow,omitempty"`
+	// Attempts have no number yet where they are started.
+	Attempts []modeler.Attempt   `json:"attempts,omitempty"`
+	Ends     []AttemptEnd        `json:"ends,omitempty"`
+	Session  *modeler.Session    `json:"session,omitempty"`
+	Table    *modeler.QueueTable `json:"table,omitempty"`
 }
 
 // WorkerSession names one session of one worker.
@@ -123,6 +137,12 @@
 		missing = missingIf(c.Job == nil, "job")
 	case KindAuditMember:
 		missing = missingIf(c.Member == nil, "member")
+	case KindSubmitWorkflow, KindCancelWorkflow:
+		missing = missingIf(c.Workflow == nil, "workflow")
+	case KindAnnounceSession:
+		missing = missingIf(c.Session == nil, "session")
+	case KindApplyTable:
+		missing = missingIf(c.Table == nil, "table")
 	default:
 	}
 	if missing != "" {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -35,6 +35,9 @@
 	TouchEntry    TouchKind = "entry"
 	TouchJob      TouchKind = "job"
 	TouchDocument TouchKind = "document"
+	TouchWorkflow TouchKind = "workflow"
+	TouchSession  TouchKind = "session"
+	TouchTable    TouchKind = "table"
 )
 
 // Touch names a record that a command changed or removed.
@@ -59,26 +62,33 @@
 
 // handlers lists what each kind of command does.
 var handlers = map[Kind]handler{
-	KindNoop:           func(*transition) *modeler.RefusalError { return nil },
-	KindRegisterEntry:  (*transition).registerEntry,
-	KindExpireEntries:  (*transition).expireEntries,
-	KindAnnounceWorker: (*transition).announceWorker,
-	KindLeaveWorker:    (*transition).leaveWorker,
-	KindLoseWorkers:    (*transition).loseWorkers,
-	KindForgetWorkers:  (*transition).forgetWorkers,
-	KindDrainWorker:    (*transition).drainWorker,
-	KindAssignOwners:   (*transition).assignOwners,
-	KindReleaseOwners:  (*transition).releaseOwners,
-	KindSubmitJob:      (*transition).submitJob,
-	KindCancelJobs:     (*transition).cancelJobs,
-	KindStartTasks:     (*transition).startTasks,
-	KindReportTasks:    (*transition).reportTasks,
-	KindPreemptTasks:   (*transition).preemptTasks,
-	KindApplyDocuments: (*transition).applyDocuments,
-	KindRecordRequests: (*transition).recordRequests,
-	KindSettleRequests: (*transition).settleRequests,
-	KindRetain:         (*transition).retain,
-	KindAuditMember:    (*transition).auditMember,
+	KindNoop:            func(*transition) *modeler.RefusalError { return nil },
+	KindRegisterEntry:   (*transition).registerEntry,
+	KindExpireEntries:   (*transition).expireEntries,
+	KindAnnounceWorker:  (*transition).announceWorker,
+	KindLeaveWorker:     (*transition).leaveWorker,
+	KindLoseWorkers:     (*transition).loseWorkers,
+	KindForgetWorkers:   (*transition).forgetWorkers,
+	KindDrainWorker:     (*transition).drainWorker,
+	KindAssignOwners:    (*transition).assignOwners,
+	KindReleaseOwners:   (*transition).releaseOwners,
+	KindSubmitJob:       (*transition).submitJob,
+	KindCancelJobs:      (*transition).cancelJobs,
+	KindStartTasks:      (*transition).startTasks,
+	KindReportTasks:     (*transition).reportTasks,
+	KindPreemptTasks:    (*transition).preemptTasks,
+	KindApplyDocuments:  (*transition).applyDocuments,
+	KindRecordRequests:  (*transition).recordRequests,
+	KindSettleRequests:  (*transition).settleRequests,
+	KindRetain:          (*transition).retain,
+	KindAuditMember:     (*transition).auditMember,
+	KindSubmitWorkflow:  (*transition).submitWorkflow,
+	KindCancelWorkflow:  (*transition).cancelWorkflow,
+	KindStartAttempts:   (*transition).startAttempts,
+	KindEndAttempts:     (*transition).endAttempts,
+	KindAnnounceSession: (*transition).announceSession,
+	KindEndSessions:     (*transition).endSessions,
+	KindApplyTable:      (*transition).applyTable,
 }
 
 // Apply returns the state after the command at the revision, what the command
--- a/internal/reducer/requests.go
+++ b/internal/reducer/requests.go
@@ -103,5 +103,6 @@
 			t.touch(TouchJob, j.Spec.ID)
 		}
 	}
+	t.retainWorkflows()
 	return nil
 }
--- /dev/null
+++ b/internal/reducer/sessions.go
@@ -0,0 +1,75 @@
+package reducer
+
+import (
+	"github.com/samphirewick/samphirewick/internal/modeler"
+)
+
+// announceSession takes the first word of a worker's life, or news of a life
+// that is known. Word of an earlier life changes nothing.
+func (t *transition) announceSession() *modeler.RefusalError {
+	s := *t.command.Session
+	if refusal := checkSession(s); refusal != nil {
+		return refusal
+	}
+	for _, other := range Values(t.Sessions) {
+		if other.Key() == s.Key() || (other.Worker != s.Worker && other.Address != s.Address) {
+			continue
+		}
+		if other.Born > s.Born {
+			return modeler.Refuse(modeler.CodeStale, "born", "worker %q at %s has a later life", other.Worker, other.Address)
+		}
+		t.endSession(other)
+	}
+	known, ok := t.Sessions.Get(s.Key())
+	if ok {
+		s.Tasks, s.Used = known.Tasks, known.Used
+		s.Draining = s.Draining || known.Draining
+	} else {
+		s.Tasks, s.Used = nil, modeler.Resources{}
+	}
+	t.setSession(s)
+	return nil
+}
+
+func checkSession(s modeler.Session) *modeler.RefusalError {
+	if refusal := modeler.CheckName("worker", s.Worker); refusal != nil {
+		return refusal
+	}
+	if s.Address == "" {
+		return modeler.Refuse(modeler.CodeInvalid, "address", "missing")
+	}
+	if s.Service == "" {
+		return modeler.Refuse(modeler.CodeInvalid, "service", "missing")
+	}
+	if s.Capacity.IsNegative() {
+		return modeler.Refuse(modeler.CodeInvalid, "capacity", "is negative")
+	}
+	return nil
+}
+
+// endSessions forgets sessions whose workers have surely ended.
+func (t *transition) endSessions() *modeler.RefusalError {
+	for _, key := range t.command.Names {
+		if s, ok := t.Sessions.Get(key); ok {
+			t.endSession(s)
+			t.result.Accepted++
+		}
+	}
+	return nil
+}
+
+func (t *transition) endSession(s modeler.Session) {
+	for _, name := range s.Tasks {
+		w, _ := t.Workflows.Get(name.Workflow)
+		task, _ := w.Task(name)
+		attempt := modeler.Attempt{Task: name, Session: s.Key(), Number: task.Attempt}
+		t.endAttempt(AttemptEnd{Attempt: attempt, Outcome: AttemptLapsed})
+	}
+	t.Sessions = t.Sessions.Delete(s.Key())
+	t.touch(TouchSession, s.Key())
+}
+
+func (t *transition) setSession(s modeler.Session) {
+	t.Sessions = t.Sessions.Set(s.Key(), s)
+	t.touch(TouchSession, s.Key())
+}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -49,7 +49,17 @@
 	Changes   *Map[ChangeRecord]
 	Requests  *Map[modeler.RequestRecord]
 	Audit     *immutable.List[modeler.AuditRecord]
+	Workflows *Map[modeler.Workflow]
+	// Sessions are those of workers that take their orders by call, by key.
+	Sessions *Map[modeler.Session]
+	// Table is the configuration of queues in force.
+	Table modeler.QueueTable
+	// Queues holds the queues of all tables so far, by name.
+	Queues *Map[modeler.Queue]
 
+	// ActiveWorkflows holds the workflows that have not ended or hold tasks;
+	// derived from Workflows.
+	ActiveWorkflows *Map[struct{}]
 	// Waiting holds the jobs that have a waiting task; derived from Jobs.
 	Waiting *Map[struct{}]
 	// Usage is what the tasks of each department hold; derived from Jobs.
@@ -70,11 +80,17 @@
 		Changes:   newMap[ChangeRecord](),
 		Requests:  newMap[modeler.RequestRecord](),
 		Audit:     immutable.NewList[modeler.AuditRecord](),
-		Waiting:   newMap[struct{}](),
-		Usage:     newMap[modeler.Resources](),
-		Pools:     newMap[modeler.PoolSpec](),
-		Policies:  newMap[modeler.PolicySpec](),
-		Grants:    newMap[modeler.GrantSpec](),
+		Workflows: newMap[modeler.Workflow](),
+		Sessions:  newMap[modeler.Session](),
+		Queues:    newMap[modeler.Queue](),
+
+		ActiveWorkflows: newMap[struct{}](),
+
+		Waiting:  newMap[struct{}](),
+		Usage:    newMap[modeler.Resources](),
+		Pools:    newMap[modeler.PoolSpec](),
+		Policies: newMap[modeler.PolicySpec](),
+		Grants:   newMap[modeler.GrantSpec](),
 	}
 }
 
@@ -121,6 +137,10 @@
 	Changes   []ChangeRecord          `json:"changes"`
 	Requests  []modeler.RequestRecord `json:"requests"`
 	Audit     []modeler.AuditRecord   `json:"audit"`
+	Workflows []modeler.Workflow      `json:"workflows,omitempty"`
+	Sessions  []modeler.Session       `json:"sessions,omitempty"`
+	Queues    []modeler.Queue         `json:"queues,omitempty"`
+	Table     modeler.QueueTable      `json:"table,omitzero"`
 }
 
 // Encode returns the state as it stands in a snapshot.
@@ -134,6 +154,10 @@
 		Documents: Values(s.Documents),
 		Changes:   Values(s.Changes),
 		Requests:  Values(s.Requests),
+		Workflows: Values(s.Workflows),
+		Sessions:  Values(s.Sessions),
+		Queues:    Values(s.Queues),
+		Table:     s.Table,
 	}
 	for it := s.Audit.Iterator(); !it.Done(); {
 		_, line := it.Next()
@@ -173,6 +197,16 @@
 		}
 	}
 	t.Audit = immutable.NewList(written.Audit...)
+	for _, w := range written.Workflows {
+		t.setWorkflow(w)
+	}
+	for _, session := range written.Sessions {
+		t.setSession(session)
+	}
+	for _, q := range written.Queues {
+		t.Queues = t.Queues.Set(q.Name, q)
+	}
+	t.Table = written.Table
 	return t.State, nil
 }
 
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"slices"
+	"time"
 )
 
 // The errors of proposals. An entry that was refused with one of them is not in the log.
@@ -139,3 +140,13 @@
 	}
 	return c.lastIndex() - p.match, c.now-p.acked < c.config.ElectionTimeout
 }
+
+// Silence returns how long the leader has not heard of the member. One that has
+// never answered counts from the election.
+func (c *Core) Silence(id string) time.Duration {
+	p, ok := c.peers[id]
+	if !ok {
+		return 0
+	}
+	return c.now - max(p.acked, c.elected)
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/samphirewick/samphirewick/internal/controller"
@@ -62,6 +63,17 @@
 		messenger.MethodRemoveMember:   onLeader(r, (*Responder).removeMember),
 		messenger.MethodRecordRequest:  onLeader(r, (*Responder).recordRequest),
 		messenger.MethodSettleRequests: onLeader(r, (*Responder).settleRequests),
+
+		messenger.MethodSubmitWorkflow:  onLeader(r, (*Responder).submitWorkflow),
+		messenger.MethodGetWorkflow:     onLeader(r, (*Responder).getWorkflow),
+		messenger.MethodCancelWorkflow:  onLeader(r, (*Responder).cancelWorkflow),
+		messenger.MethodGetQueue:        onLeader(r, (*Responder).getQueue),
+		messenger.MethodAnnounceSession: onLeader(r, (*Responder).announceSession),
+		messenger.MethodLeaveSession:    onLeader(r, (*Responder).leaveSession),
+		messenger.MethodApplyTable:      onLeader(r, (*Responder).applyTable),
+		messenger.MethodGetTable:        onLeader(r, (*Responder).getTable),
+		messenger.MethodLocate:          r.locate,
+		messenger.MethodJoin:            onLeader(r, (*Responder).join),
 	}
 	return r
 }
@@ -86,13 +98,25 @@
 			return nil, r.notLeader()
 		}
 		answer, err := work(r, ctx, lead, params)
-		if err != nil {
+		var refusal *modeler.RefusalError
+		if errors.As(err, &refusal) && !restsOnState(refusal.Code) {
 			return nil, err
 		}
 		if !r.coordinator.Confirm() {
 			return nil, modeler.Refuse(modeler.CodeUnknownOutcome, "", "the leadership lease ended meanwhile")
 		}
-		return answer, nil
+		return answer, err
+	}
+}
+
+// restsOnState reports whether a refusal says something of the state, and so
+// holds only where the member surely leads.
+func restsOnState(code modeler.RefusalCode) bool {
+	switch code {
+	case modeler.CodeNotLeader, modeler.CodeOverloaded, modeler.CodeUnknownOutcome, modeler.CodeInvalid:
+		return false
+	default:
+		return true
 	}
 }
 
--- /dev/null
+++ b/internal/responder/workflows.go
@@ -0,0 +1,92 @@
+package responder
+
+import (
+	"context"
+	"strings"
+
+	"github.com/samphirewick/samphirewick/internal/controller"
+	"github.com/samphirewick/samphirewick/internal/messenger"
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reducer"
+)
+
+// route returns the queue of the place, and the id of the workflow behind its prefix.
+func (r *Responder) route(place messenger.Place) (modeler.Queue, string, *modeler.RefusalError) {
+	table := r.coordinator.State().Table
+	if table.Version == 0 {
+		return modeler.Queue{}, "", modeler.Refuse(modeler.CodeUnavailable, "table", "no queues are configured yet")
+	}
+	queue, ok := table.Route(place.Host, place.Path)
+	if !ok {
+		return queue, "", modeler.Refuse(modeler.CodeNotFound, "queue", "%s%s belongs to no queue", place.Host, place.Path)
+	}
+	return queue, strings.TrimPrefix(place.Path, queue.Prefix), nil
+}
+
+func (r *Responder) submitWorkflow(
+	ctx context.Context, _ *controller.Lead, call messenger.SubmitWorkflowCall,
+) (any, error) {
+	queue, id, refusal := r.route(call.Place)
+	if refusal != nil {
+		return nil, refusal
+	}
+	spec := call.Spec
+	spec.ID, spec.Queue = id, queue.Name
+	if refusal := spec.Validate(); refusal != nil {
+		return nil, refusal
+	}
+	if known, ok := r.coordinator.State().Workflows.Get(id); ok && len(known.Runs) > 0 {
+		return struct{}{}, nil
+	}
+	_, err := r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
+	return struct{}{}, err
+}
+
+func (r *Responder) getWorkflow(_ context.Context, _ *controller.Lead, call messenger.WorkflowCall) (any, error) {
+	_, id, refusal := r.route(call.Place)
+	if refusal != nil {
+		return nil, refusal
+	}
+	w, ok := r.coordinator.State().Workflows.Get(id)
+	if !ok || len(w.Runs) == 0 {
+		return nil, modeler.Refuse(modeler.CodeNotFound, "workflow", "%q is not known", id)
+	}
+	return messenger.WorkflowStatus{ID: id, Phase: w.Phase}, nil
+}
+
+// cancelWorkflow commits the cancel. One of a workflow that is not known is
+// committed too, as its submission may still be on the way.
+func (r *Responder) cancelWorkflow(ctx context.Context, _ *controller.Lead, call messenger.WorkflowCall) (any, error) {
+	queue, id, refusal := r.route(call.Place)
+	if refusal != nil {
+		return nil, refusal
+	}
+	result, err := r.propose(ctx, reducer.Command{
+		Kind:     reducer.KindCancelWorkflow,
+		Workflow: &modeler.WorkflowSpec{ID: id, Queue: queue.Name},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if result.Accepted == 0 {
+		return nil, modeler.Refuse(modeler.CodeNotFound, "workflow", "%q is not known", id)
+	}
+	return struct{}{}, nil
+}
+
+func (r *Responder) getQueue(_ context.Context, _ *controller.Lead, call messenger.WorkflowCall) (any, error) {
+	queue, _, refusal := r.route(call.Place)
+	if refusal != nil {
+		return nil, refusal
+	}
+	state := r.coordinator.State()
+	status := messenger.QueueStatus{}
+	for it := state.ActiveWorkflows.Iterator(); !it.Done(); {
+		id, _, _ := it.Next()
+		w, _ := state.Workflows.Get(id)
+		if w.Spec.Queue == queue.Name && w.Phase == modeler.WorkflowWaiting {
+			status.Waiting++
+		}
+	}
+	return status, nil
+}
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,249 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/samphirewick/samphirewick/internal/adviser"
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reducer"
+)
+
+// start is one planned start.
+type start struct {
+	task    modeler.TaskName
+	session string
+	ticket  string
+	// number is the attempt's once it is committed.
+	number int
+}
+
+// room is what a session has left in a plan.
+type room struct {
+	session modeler.Session
+	free    modeler.Resources
+}
+
+// plan is the work of one round.
+type plan struct {
+	scheduler *Scheduler
+	state     reducer.State
+	// rooms are the reachable sessions by service.
+	rooms  map[string][]*room
+	starts []start
+}
+
+func newPlan(s *Scheduler, state reducer.State) *plan {
+	p := &plan{scheduler: s, state: state, rooms: map[string][]*room{}}
+	for _, session := range reducer.Values(state.Sessions) {
+		if session.Draining || !s.options.Supervisor.IsReachable(session.Key()) {
+			continue
+		}
+		p.rooms[session.Service] = append(p.rooms[session.Service], &room{session: session, free: session.Free()})
+	}
+	return p
+}
+
+func (p *plan) attempts() []modeler.Attempt {
+	attempts := make([]modeler.Attempt, len(p.starts))
+	for i, s := range p.starts {
+		attempts[i] = modeler.Attempt{Task: s.task, Session: s.session}
+	}
+	return attempts
+}
+
+// fill places what fits, in the order given.
+func (p *plan) fill(ctx context.Context, steps []ready) {
+	now := p.scheduler.options.Wall()
+	for _, r := range steps {
+		if len(p.starts) >= maxStarts {
+			return
+		}
+		if r.workflow.DueAt(r.name.Occurrence).After(now) {
+			continue
+		}
+		p.place(ctx, r)
+	}
+}
+
+// place starts the waiting tasks of a step: of a gang all or none.
+func (p *plan) place(ctx context.Context, r ready) {
+	need := r.step.CountedNeed()
+	rooms := p.candidates(r, need)
+	var chosen []start
+	taken := map[*room]int{}
+	for _, index := range r.waiting {
+		best := p.best(r, rooms, need, taken)
+		if best == nil {
+			break
+		}
+		best.free = best.free.Minus(need)
+		taken[best]++
+		chosen = append(chosen, p.startOf(r, index, best))
+	}
+	missing := len(r.waiting) - len(chosen)
+	if missing > 0 && r.step.Gang {
+		for candidate, count := range taken {
+			candidate.free = candidate.free.Plus(need.Times(int64(count)))
+		}
+		chosen = nil
+		missing = len(r.waiting)
+	}
+	p.starts = append(p.starts, chosen...)
+	if missing > 0 && r.queue.Permit != nil {
+		p.ask(ctx, r, missing)
+	}
+}
+
+func (p *plan) startOf(r ready, index int, at *room) start {
+	number := r.run.Tasks[index].Attempt + 1
+	if r.step.Gang {
+		number = r.run.Attempt + 1
+	}
+	ticket, _ := p.scheduler.options.Adviser.Ticket(r.name, at.session.Key())
+	return start{
+		task: modeler.TaskName{
+			Workflow: r.name.Workflow, Occurrence: r.name.Occurrence, Step: r.name.Step, Index: index,
+		},
+		session: at.session.Key(),
+		ticket:  ticket,
+		number:  number,
+	}
+}
+
+// candidates returns the rooms in which a task of the step may start now.
+func (p *plan) candidates(r ready, need modeler.Resources) []*room {
+	var rooms []*room
+	for _, c := range p.rooms[r.queue.Service] {
+		if !c.session.HasLabel(r.step.Label) || !need.FitsIn(c.free) {
+			continue
+		}
+		if r.queue.Permit != nil {
+			if _, ok := p.scheduler.options.Adviser.Ticket(r.name, c.session.Key()); !ok {
+				continue
+			}
+		}
+		rooms = append(rooms, c)
+	}
+	return rooms
+}
+
+// best returns the room for the next task of the step, or nil.
+func (p *plan) best(r ready, rooms []*room, need modeler.Resources, taken map[*room]int) *room {
+	var best *room
+	bestRank := rank{}
+	for _, c := range rooms {
+		if !need.FitsIn(c.free) {
+			continue
+		}
+		if r.step.MaxPerWorker > 0 && p.countOf(r, c)+taken[c] >= r.step.MaxPerWorker {
+			continue
+		}
+		if rank := rankOf(r, c, need); best == nil || rank.compare(bestRank) < 0 {
+			best, bestRank = c, rank
+		}
+	}
+	return best
+}
+
+func (p *plan) countOf(r ready, c *room) int {
+	return c.session.CountOf(modeler.TaskName{
+		Workflow: r.name.Workflow, Occurrence: r.name.Occurrence, Step: r.name.Step,
+	})
+}
+
+// rank orders rooms; the lowest is the best.
+type rank struct {
+	// failures counts the task's failures on the worker.
+	failures int
+	// far is 1 where the data of the step is on another rack.
+	far int
+	// left is the share of processors that stays free, in thousandths.
+	left int64
+}
+
+func (a rank) compare(b rank) int {
+	return cmp.Or(cmp.Compare(a.failures, b.failures), cmp.Compare(a.far, b.far), cmp.Compare(a.left, b.left))
+}
+
+func rankOf(r ready, c *room, need modeler.Resources) rank {
+	k := rank{}
+	for _, task := range r.run.Tasks {
+		for _, worker := range task.FailedOn {
+			if worker == c.session.Worker {
+				k.failures++
+			}
+		}
+	}
+	if r.step.Rack != "" && r.step.Rack != c.session.Rack {
+		k.far = 1
+	}
+	const thousand = 1000
+	k.left = thousand * (c.free.Processors - need.Processors) / max(1, c.session.Capacity.Processors)
+	return k
+}
+
+// ask asks for permits on workers that have room for what is missing.
+func (p *plan) ask(ctx context.Context, r ready, missing int) {
+	a := p.scheduler.options.Adviser
+	if a.IsAsking(r.name) {
+		return
+	}
+	need := r.step.CountedNeed()
+	var permitted, unknown []*room
+	slots := 0
+	for _, c := range p.rooms[r.queue.Service] {
+		if !c.session.HasLabel(r.step.Label) || !need.FitsIn(c.free) {
+			continue
+		}
+		switch a.Standing(r.name, c.session.Key()) {
+		case adviser.StandingPermitted:
+			if _, ok := a.Ticket(r.name, c.session.Key()); !ok {
+				permitted = append(permitted, c)
+				slots += fitting(c.free, need)
+			}
+		case adviser.StandingUnknown:
+			unknown = append(unknown, c)
+		case adviser.StandingForbidden:
+		}
+	}
+	byRoom := func(a, b *room) int { return cmp.Compare(fitting(b.free, need), fitting(a.free, need)) }
+	slices.SortStableFunc(permitted, byRoom)
+	slices.SortStableFunc(unknown, byRoom)
+	asked := permitted
+	if slots < missing {
+		asked = append(asked, unknown[:min(len(unknown), p.wanted(r, missing-slots, unknown))]...)
+	}
+	if len(asked) == 0 {
+		return
+	}
+	sessions := make([]modeler.Session, len(asked))
+	for i, c := range asked {
+		sessions[i] = c.session
+	}
+	a.Ask(ctx, r.queue, r.name, sessions)
+}
+
+// wanted returns how many of the unknown rooms to ask about.
+func (p *plan) wanted(r ready, missing int, unknown []*room) int {
+	need := r.step.CountedNeed()
+	wanted := p.scheduler.options.Adviser.Want(r.queue.Name, missing)
+	slots := 0
+	for i, c := range unknown {
+		if slots += fitting(c.free, need); slots >= wanted {
+			return i + 1
+		}
+	}
+	return len(unknown)
+}
+
+// fitting returns how many tasks of the need fit in the amount, at most a few.
+func fitting(free, need modeler.Resources) int {
+	const most = 4
+	count := 0
+	for count < most && need.Times(int64(count+1)).FitsIn(free) {
+		count++
+	}
+	return count
+}
--- /dev/null
+++ b/internal/supervisor/supervisor.go
@@ -0,0 +1,241 @@
+// Package supervisor keeps the leader in touch with the workers that take
+// their orders by call: it renews their leases, starts and stops attempts, and
+// commits how attempts ended before a worker may forget it.
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reducer"
+	"github.com/samphirewick/samphirewick/internal/runner"
+)
+
+// Errors of calls to workers. Any other error says that the call may have been
+// carried out, or may be carried out later.
+var (
+	// ErrNotSent says that no byte of the call has left this process.
+	ErrNotSent = errors.New("the call was not sent")
+	// ErrOtherLife says that another life of the worker answered.
+	ErrOtherLife = errors.New("another life of the worker answered")
+)
+
+// Verdict is a worker's answer to a start.
+type Verdict string
+
+// The verdicts of a worker. All but VerdictStarted say that the start did nothing.
+const (
+	VerdictStarted Verdict = "started"
+	// VerdictFenced says that a later leader has given orders to the worker.
+	VerdictFenced Verdict = "fenced"
+	// VerdictStale says that the attempt was stopped or ended there before.
+	VerdictStale Verdict = "stale"
+	// VerdictLate says that the order came after its deadline.
+	VerdictLate Verdict = "late"
+	// VerdictFull says that the worker has no room.
+	VerdictFull Verdict = "full"
+	// VerdictNoTicket says that the ticket is missing, wrong or too old.
+	VerdictNoTicket Verdict = "noTicket"
+	// VerdictUnhealthy says that the worker does not work now.
+	VerdictUnhealthy Verdict = "unhealthy"
+	// VerdictInvalid says that the worker could not read the order.
+	VerdictInvalid Verdict = "invalid"
+)
+
+// StartOrder starts one attempt.
+type StartOrder struct {
+	Attempt modeler.Attempt
+	Payload string
+	// Deadline is on the worker's clock; the order does nothing after it.
+	Deadline time.Duration
+	// Epoch fences orders of earlier leaders.
+	Epoch      uint64
+	Checkpoint string
+	// Ticket is empty where the queue needs no permit.
+	Ticket string
+}
+
+// StopOrder stops one attempt, and keeps it from starting later.
+type StopOrder struct {
+	Attempt modeler.Attempt
+	Epoch   uint64
+}
+
+// LookOrder renews the lease of all that a worker runs, and asks what it runs.
+type LookOrder struct {
+	// Deadline is the end of the lease on the worker's clock; zero renews nothing.
+	Deadline time.Duration
+	Epoch    uint64
+	// Seen is the number of the last end that is committed.
+	Seen uint64
+	// Wait is how long the worker may hold the answer while nothing ends.
+	Wait time.Duration
+}
+
+// Look is what a worker says of itself.
+type Look struct {
+	// Clock is the worker's steady clock.
+	Clock   time.Duration
+	Born    int64
+	Running []Running
+	Ended   []Ended
+	// Whole says that Ended holds all ends after LookOrder.Seen.
+	Whole bool
+}
+
+// Running is an attempt that a worker runs.
+type Running struct {
+	Task       modeler.TaskName
+	Number     int
+	Checkpoint string
+	// Percent of the work is done; for a long-running task, 100 while it is at work.
+	Percent int
+}
+
+// Ended is an attempt that has ended on a worker.
+type Ended struct {
+	// Position counts the ends of the worker's life from 1.
+	Position   uint64
+	Task       modeler.TaskName
+	Number     int
+	Outcome    reducer.AttemptOutcome
+	Checkpoint string
+}
+
+// Calls reach a worker. None is nil.
+type Calls struct {
+	Start func(ctx context.Context, s modeler.Session, o StartOrder) (Verdict, error)
+	Stop  func(ctx context.Context, s modeler.Session, o StopOrder) error
+	Look  func(ctx context.Context, s modeler.Session, o LookOrder) (Look, error)
+}
+
+// Options are the settings and the seams of a supervisor.
+type Options struct {
+	Calls Calls
+	// Epoch is the term of the leader.
+	Epoch uint64
+	// Since is when the leader began to lead, by Now.
+	Since time.Duration
+	// Now is a clock that goes on while the machine is suspended. Never nil.
+	Now func() time.Duration
+	// State returns the latest state that was applied. Never nil.
+	State func() reducer.State
+	// Propose commits a command. Never nil.
+	Propose func(ctx context.Context, c reducer.Command) (reducer.Result, error)
+	// Confirm reports whether this member surely still leads. Never nil.
+	Confirm func() bool
+	Log     *zap.Logger
+}
+
+// Supervisor supervises the sessions of one leadership.
+type Supervisor struct {
+	options Options
+
+	mutex sync.Mutex
+	links map[string]*link
+	added chan *link
+}
+
+// maxNewLinks bounds the sessions that wait for a goroutine of their own.
+const maxNewLinks = 8192
+
+// New returns a supervisor. What the state holds when it begins was started by
+// earlier leaders.
+func New(options Options) *Supervisor {
+	s := &Supervisor{options: options, links: map[string]*link{}, added: make(chan *link, maxNewLinks)}
+	state := options.State()
+	for _, session := range reducer.Values(state.Sessions) {
+		s.add(session, session.Tasks)
+	}
+	return s
+}
+
+// Run supervises until the context ends.
+func (s *Supervisor) Run(ctx context.Context) error {
+	crew := runner.NewCrew()
+	for {
+		select {
+		case <-ctx.Done():
+			return crew.Wait()
+		case l := <-s.added:
+			crew.Add(ctx, l.run)
+		}
+	}
+}
+
+// Sync takes note of a session that was touched.
+func (s *Supervisor) Sync(key string) {
+	session, ok := s.options.State().Sessions.Get(key)
+	s.mutex.Lock()
+	_, known := s.links[key]
+	if !ok {
+		delete(s.links, key)
+	}
+	s.mutex.Unlock()
+	if ok && !known {
+		s.add(session, nil)
+	}
+}
+
+func (s *Supervisor) add(session modeler.Session, inherited []modeler.TaskName) {
+	l := newLink(s, session, inherited)
+	s.mutex.Lock()
+	s.links[session.Key()] = l
+	s.mutex.Unlock()
+	s.added <- l
+}
+
+func (s *Supervisor) link(key string) (*link, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l, ok := s.links[key]
+	return l, ok
+}
+
+// IsReachable reports whether the session answered a moment ago under this
+// leader, so that it may get new tasks.
+func (s *Supervisor) IsReachable(key string) bool {
+	l, ok := s.link(key)
+	return ok && l.isReachable()
+}
+
+// Start sends a committed start. It returns at once; what becomes of the
+// attempt is committed in time.
+func (s *Supervisor) Start(ctx context.Context, o StartOrder) {
+	l, ok := s.link(o.Attempt.Session)
+	if !ok {
+		return
+	}
+	if l.register(o.Attempt) {
+		go l.start(ctx, o)
+		return
+	}
+	go l.conclude(ctx, o.Attempt, reducer.AttemptRefused, "the worker is out of reach")
+}
+
+// Stop tells the worker to stop the attempt, and returns at once.
+func (s *Supervisor) Stop(ctx context.Context, attempt modeler.Attempt) {
+	if l, ok := s.link(attempt.Session); ok {
+		l.requestStop(ctx, attempt)
+	}
+}
+
+// ShouldStop reports whether the attempt that holds the task has no reason to
+// go on.
+func ShouldStop(state reducer.State, name modeler.TaskName, number int) bool {
+	w, ok := state.Workflows.Get(name.Workflow)
+	task, known := w.Task(name)
+	if !ok || !known || !task.IsHeld() || task.Attempt != number {
+		return true
+	}
+	if task.Phase == modeler.TaskCancelled || task.Phase == modeler.TaskStopping {
+		return true
+	}
+	position, _ := w.RunOf(name)
+	return w.Spec.Steps[name.Step].Gang && task.Phase == modeler.TaskStarted && w.Runs[position].IsBroken()
+}
