--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -58,13 +58,13 @@
 
 // member holds the parts of a running member.
 type member struct {
-	settings    loader.Control
-	log         *zap.Logger
-	disk        journaler.Disk
-	tls         *tls.Config
-	courier     *courier.Courier
+	settings loader.Control
+	log      *zap.Logger
+	disk     journaler.Disk
+	tls      *tls.Config
+	courier  *courier.Courier
 	// control calls the leader; nil where the settings name no seeds.
-	control *caller.Caller
+	control     *caller.Caller
 	coordinator *coordinator.Coordinator
 	manager     *controller.Manager
 	responder   *responder.Responder
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -56,35 +56,55 @@
 	return standings
 }
 
+// census sorts members by what they need; a position below zero stands for none.
+type census struct {
+	voters int
+	// lost is a voter that does not answer or lost its disk.
+	lost int
+	// newcomer is a member without a vote that has caught up.
+	newcomer int
+	// needless is a member without a vote that does not answer or lost its disk.
+	needless int
+}
+
+func take(standings []standing) census {
+	c := census{lost: -1, newcomer: -1, needless: -1}
+	for i, s := range standings {
+		if s.Voter {
+			c.voters++
+		}
+		switch {
+		case s.Voter && (s.superseded || s.silence > replaceAfter):
+			c.lost = i
+		case s.Voter:
+		case s.superseded || s.silence > forgetAfter:
+			c.needless = i
+		case s.ready && c.newcomer < 0:
+			c.newcomer = i
+		}
+	}
+	return c
+}
+
 // repaired returns a membership that differs by one member and is nearer to
 // the wanted number of voters that answer, and why; an empty reason says that
 // nothing is to be done. A voter is removed only once another has taken its
 // place, so that a loss right after it loses nothing.
 func repaired(standings []standing, wanted int) ([]replicator.Member, string) {
 	members := make([]replicator.Member, len(standings))
-	voters, lost, newcomer, needless := 0, -1, -1, -1
 	for i, s := range standings {
 		members[i] = s.Member
-		switch {
-		case s.Voter:
-			voters++
-			if s.superseded || s.silence > replaceAfter {
-				lost = i
-			}
-		case s.superseded || s.silence > forgetAfter:
-			needless = i
-		case s.ready && newcomer < 0:
-			newcomer = i
-		}
 	}
+	c := take(standings)
+	hasPlace := wanted == 0 || c.voters < wanted || (c.voters == wanted && c.lost >= 0)
 	switch {
-	case wanted > 0 && voters > wanted && lost >= 0:
-		return slices.Delete(members, lost, lost+1), "voter lost"
-	case newcomer >= 0 && (wanted == 0 || voters < wanted || (voters == wanted && lost >= 0)):
-		members[newcomer].Voter = true
+	case wanted > 0 && c.voters > wanted && c.lost >= 0:
+		return slices.Delete(members, c.lost, c.lost+1), "voter lost"
+	case c.newcomer >= 0 && hasPlace:
+		members[c.newcomer].Voter = true
 		return members, "newcomer caught up"
-	case needless >= 0:
-		return slices.Delete(members, needless, needless+1), "member without a vote lost"
+	case c.needless >= 0:
+		return slices.Delete(members, c.needless, c.needless+1), "member without a vote lost"
 	default:
 		return nil, ""
 	}
--- a/internal/modeler/queuetable.go
+++ b/internal/modeler/queuetable.go
@@ -91,25 +91,34 @@
 		}
 		pools[p.Name] = true
 	}
-	type place struct{ host, prefix string }
-	places := map[place]bool{}
-	names := map[string]bool{}
+	names, places := map[string]bool{}, map[string]bool{}
 	for _, q := range t.Queues {
-		at := place{q.Host, q.Prefix}
-		switch {
-		case q.Name == "" || names[q.Name]:
-			return Refuse(CodeInvalid, "queues", "the name %q is missing or there twice", q.Name)
-		case !pools[q.Service]:
-			return Refuse(CodeInvalid, "queues."+q.Name+".service", "%q is not configured", q.Service)
-		case q.Host == "" || !strings.HasPrefix(q.Prefix, "/"):
-			return Refuse(CodeInvalid, "queues."+q.Name, "needs a host and a prefix that begins with /")
-		case places[at]:
-			return Refuse(CodeInvalid, "queues."+q.Name, "%s%s belongs to another queue too", q.Host, q.Prefix)
-		case q.Timeout <= 0:
-			return Refuse(CodeInvalid, "queues."+q.Name+".timeout", "is not above zero")
+		if refusal := q.validate(pools); refusal != nil {
+			return refusal
+		}
+		if names[q.Name] {
+			return Refuse(CodeInvalid, "queues."+q.Name, "the name is there twice")
+		}
+		if place := q.Host + q.Prefix; places[place] {
+			return Refuse(CodeInvalid, "queues."+q.Name, "%s belongs to another queue too", place)
 		}
-		places[at] = true
 		names[q.Name] = true
+		places[q.Host+q.Prefix] = true
 	}
 	return nil
 }
+
+func (q Queue) validate(pools map[string]bool) *RefusalError {
+	switch {
+	case q.Name == "":
+		return Refuse(CodeInvalid, "queues", "a name is missing")
+	case !pools[q.Service]:
+		return Refuse(CodeInvalid, "queues."+q.Name+".service", "%q is not configured", q.Service)
+	case q.Host == "" || !strings.HasPrefix(q.Prefix, "/"):
+		return Refuse(CodeInvalid, "queues."+q.Name, "needs a host and a prefix that begins with /")
+	case q.Timeout <= 0:
+		return Refuse(CodeInvalid, "queues."+q.Name+".timeout", "is not above zero")
+	default:
+		return nil
+	}
+}
--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -191,12 +191,8 @@
 func (r StepRun) IsBroken() bool {
 	held, lost := false, false
 	for _, t := range r.Tasks {
-		switch {
-		case t.Phase == TaskStarted:
-			held = true
-		case t.Phase == TaskWaiting:
-			lost = true
-		}
+		held = held || t.Phase == TaskStarted
+		lost = lost || t.Phase == TaskWaiting
 	}
 	return held && lost
 }
--- a/internal/reducer/workflows.go
+++ b/internal/reducer/workflows.go
@@ -127,17 +127,11 @@
 func (t *transition) startRun(starts []modeler.Attempt) {
 	name := starts[0].Task
 	w, ok := t.Workflows.Get(name.Workflow)
-	if !ok || w.IsEnded() {
-		return
-	}
-	position, ok := w.RunOf(name)
-	if !ok || !w.IsUnblocked(name.Occurrence, name.Step) {
+	position, known := w.RunOf(name)
+	if !ok || !known || w.IsEnded() || !w.IsUnblocked(name.Occurrence, name.Step) {
 		return
 	}
 	step, run := w.Spec.Steps[name.Step], w.Runs[position]
-	if step.Gang && (len(starts) != step.Count || run.HoldsAny()) {
-		return
-	}
 	before := *t
 	run.Tasks = slices.Clone(run.Tasks)
 	if step.Gang {
@@ -147,14 +141,11 @@
 	for _, s := range starts {
 		if t.startOne(w.Spec, &run, s) {
 			accepted++
-			continue
-		}
-		if step.Gang {
-			*t = before
-			return
 		}
 	}
-	if accepted == 0 {
+	isWhole := accepted == step.Count && !w.Runs[position].HoldsAny()
+	if accepted == 0 || (step.Gang && !isWhole) {
+		*t = before
 		return
 	}
 	t.result.Accepted += accepted
@@ -164,23 +155,12 @@
 // startOne reports whether the start holds against the ledger, and takes it.
 func (t *transition) startOne(spec modeler.WorkflowSpec, run *modeler.StepRun, s modeler.Attempt) bool {
 	step := spec.Steps[s.Task.Step]
-	if s.Task.Index < 0 || s.Task.Index >= len(run.Tasks) {
-		return false
-	}
-	task := run.Tasks[s.Task.Index]
 	session, ok := t.Sessions.Get(s.Session)
-	queue, known := t.Queues.Get(spec.Queue)
-	if !ok || !known || task.Phase != modeler.TaskWaiting || task.IsHeld() {
-		return false
-	}
-	if session.Draining || session.Service != queue.Service || !session.HasLabel(step.Label) {
+	if !ok || s.Task.Index < 0 || s.Task.Index >= len(run.Tasks) {
 		return false
 	}
-	if step.MaxPerWorker > 0 && session.CountOf(s.Task) >= step.MaxPerWorker {
-		return false
-	}
-	need := step.CountedNeed()
-	if !need.FitsIn(session.Free()) {
+	task := run.Tasks[s.Task.Index]
+	if task.Phase != modeler.TaskWaiting || task.IsHeld() || !t.mayRun(spec, session, s.Task) {
 		return false
 	}
 	task.Phase = modeler.TaskStarted
@@ -190,10 +170,23 @@
 		task.Attempt = run.Attempt
 	}
 	run.Tasks[s.Task.Index] = task
-	t.setSession(session.WithTask(s.Task, need))
+	t.setSession(session.WithTask(s.Task, step.CountedNeed()))
 	return true
 }
 
+// mayRun reports whether the session may take one more task of the step.
+func (t *transition) mayRun(spec modeler.WorkflowSpec, session modeler.Session, name modeler.TaskName) bool {
+	step := spec.Steps[name.Step]
+	queue, ok := t.Queues.Get(spec.Queue)
+	if !ok || session.Draining || session.Service != queue.Service || !session.HasLabel(step.Label) {
+		return false
+	}
+	if step.MaxPerWorker > 0 && session.CountOf(name) >= step.MaxPerWorker {
+		return false
+	}
+	return step.CountedNeed().FitsIn(session.Free())
+}
+
 // endAttempts takes what is known of ended attempts. News of any but the
 // attempt that holds resources changes nothing.
 func (t *transition) endAttempts() *modeler.RefusalError {
@@ -275,19 +268,29 @@
 	if e.Outcome != AttemptFailed || step.LongRunning {
 		return run, false
 	}
-	queue, _ := t.Queues.Get(spec.Queue)
-	limit := queue.MaxAttempts
-	if limit == 0 {
-		limit = modeler.DefaultMaxAttempts
-	}
-	if !step.Gang {
-		return run, task.Failures >= limit
+	run = withFailureOf(run, step, e.Attempt)
+	failures := task.Failures
+	if step.Gang {
+		failures = run.Failures
 	}
-	if run.FailedAttempt < e.Attempt.Number {
-		run.FailedAttempt = e.Attempt.Number
+	return run, failures >= t.maxAttempts(spec)
+}
+
+// withFailureOf counts the failed attempt of a gang, once for all of its tasks.
+func withFailureOf(run modeler.StepRun, step modeler.StepSpec, a modeler.Attempt) modeler.StepRun {
+	if step.Gang && run.FailedAttempt < a.Number {
+		run.FailedAttempt = a.Number
 		run.Failures++
 	}
-	return run, run.Failures >= limit
+	return run
+}
+
+func (t *transition) maxAttempts(spec modeler.WorkflowSpec) int {
+	queue, _ := t.Queues.Get(spec.Queue)
+	if queue.MaxAttempts == 0 {
+		return modeler.DefaultMaxAttempts
+	}
+	return queue.MaxAttempts
 }
 
 // withGangFinished marks the other tasks of the attempt as finished: the end of
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -109,7 +109,7 @@
 			return nil
 		}
 		if !l.supervisor.options.Confirm() {
-			pause(ctx, lookRetry)
+			pause(ctx)
 			continue
 		}
 		sent, sight, err := l.look(ctx, session)
@@ -125,10 +125,10 @@
 	return nil
 }
 
-func pause(ctx context.Context, length time.Duration) {
+func pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(length):
+	case <-time.After(lookRetry):
 	}
 }
 
@@ -155,25 +155,25 @@
 // end commits that the session is over, as another life of the worker is there.
 func (l *link) end(ctx context.Context, cause error) {
 	l.log().Info("session ended", zap.String("session", l.session.Key()), zap.Error(cause))
-	_, err := l.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, Names: []string{l.session.Key()}})
+	err := l.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, Names: []string{l.session.Key()}})
 	if err != nil {
-		pause(ctx, lookRetry)
+		pause(ctx)
 	}
 }
 
-func (l *link) propose(ctx context.Context, c reducer.Command) (reducer.Result, error) {
+func (l *link) propose(ctx context.Context, c reducer.Command) error {
 	bounded, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	result, err := l.supervisor.options.Propose(bounded, c)
+	_, err := l.supervisor.options.Propose(bounded, c)
 	if err != nil && ctx.Err() == nil {
 		l.log().Warn("proposal refused", zap.String("kind", string(c.Kind)), zap.String("session", l.session.Key()), zap.Error(err))
 	}
-	return result, err
+	return err
 }
 
 // noteSilence gives up what the worker holds once its lease has surely ended.
 func (l *link) noteSilence(ctx context.Context, cause error) {
-	defer pause(ctx, lookRetry)
+	defer pause(ctx)
 	if !l.hasLapsed() || !l.supervisor.options.Confirm() {
 		return
 	}
@@ -193,7 +193,7 @@
 			Checkpoint: l.checkpointOf(name, task.Attempt),
 		})
 	}
-	_, _ = l.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Ends: ends})
+	_ = l.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Ends: ends})
 }
 
 // hasLapsed reports whether every lease on the worker has surely ended, and
@@ -244,7 +244,7 @@
 	}
 	l.mutex.Unlock()
 	if lapsing {
-		l.conclude(ctx, o.Attempt, reducer.AttemptRefused, "the worker is out of reach")
+		l.refuse(ctx, o.Attempt, "the worker is out of reach")
 		return
 	}
 	if !l.supervisor.options.Confirm() {
@@ -256,7 +256,7 @@
 	verdict, err := l.supervisor.options.Calls.Start(bounded, l.session, o)
 	switch {
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrOtherLife):
-		l.conclude(ctx, o.Attempt, reducer.AttemptRefused, err.Error())
+		l.refuse(ctx, o.Attempt, err.Error())
 	case err != nil:
 		l.log().Info("start unanswered", zap.Stringer("task", o.Attempt.Task), zap.Int("attempt", o.Attempt.Number),
 			zap.String("session", o.Attempt.Session), zap.Error(err))
@@ -264,7 +264,7 @@
 	case verdict == VerdictStarted:
 		l.setPhase(o.Attempt, orderStarted)
 	default:
-		l.conclude(ctx, o.Attempt, reducer.AttemptRefused, string(verdict))
+		l.refuse(ctx, o.Attempt, string(verdict))
 	}
 }
 
@@ -277,14 +277,14 @@
 	}
 }
 
-// conclude commits the end of an attempt that the worker will not list.
-func (l *link) conclude(ctx context.Context, a modeler.Attempt, outcome reducer.AttemptOutcome, reason string) {
+// refuse commits that an attempt never began.
+func (l *link) refuse(ctx context.Context, a modeler.Attempt, reason string) {
 	l.log().Info("attempt not run", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
-		zap.String("session", a.Session), zap.String("outcome", string(outcome)), zap.String("reason", reason))
+		zap.String("session", a.Session), zap.String("reason", reason))
 	l.setPhase(a, orderFenced)
-	_, _ = l.propose(ctx, reducer.Command{
+	_ = l.propose(ctx, reducer.Command{
 		Kind: reducer.KindEndAttempts,
-		Ends: []reducer.AttemptEnd{{Attempt: a, Outcome: outcome}},
+		Ends: []reducer.AttemptEnd{{Attempt: a, Outcome: reducer.AttemptRefused}},
 	})
 }
 
--- a/internal/supervisor/sight.go
+++ b/internal/supervisor/sight.go
@@ -152,8 +152,8 @@
 	if len(ends) == 0 {
 		return
 	}
-	if _, err := l.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Ends: ends}); err != nil {
-		pause(ctx, lookRetry)
+	if err := l.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Ends: ends}); err != nil {
+		pause(ctx)
 		return
 	}
 	l.mutex.Lock()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -215,7 +215,7 @@
 		go l.start(ctx, o)
 		return
 	}
-	go l.conclude(ctx, o.Attempt, reducer.AttemptRefused, "the worker is out of reach")
+	go l.refuse(ctx, o.Attempt, "the worker is out of reach")
 }
 
 // Stop tells the worker to stop the attempt, and returns at once.
