fix: the lease of a silent worker ends, and an idle worker stays reachable

Looks after one without an answer renew nothing now. Ruled out: the session of the lost worker was known to end in other ways (another life, a drain); none applies to a worker that is gone for good.

--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -71,8 +71,11 @@
 	// deadline is the latest end of a lease, on the worker's clock, that any
 	// order of this leader may have given.
 	deadline time.Duration
-	// answered is when the last look that was answered was sent; zero for none.
+	// answered is when the last answer to a look came; zero for none.
 	answered time.Duration
+	// silent links had no answer to the last look, and renew no lease until
+	// they have one, so that the lease ends.
+	silent bool
 	// lapsing links send no starts until a look is answered.
 	lapsing bool
 	orders  map[modeler.TaskName]*order
@@ -98,7 +101,7 @@
 func (l *link) isReachable() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.lapsing && l.answered > 0 && l.now()-l.answered < reachableTime
+	return !l.silent && l.answered > 0 && l.now()-l.answered < reachableTime
 }
 
 // run looks at the worker until the session or the context ends.
@@ -137,7 +140,7 @@
 	l.mutex.Lock()
 	sent := l.now()
 	o := LookOrder{Epoch: l.supervisor.options.Epoch, Seen: l.seen}
-	if l.clock.known {
+	if l.clock.known && !l.silent {
 		o.Deadline = l.clock.at(sent) + workerLease
 		o.Wait = lookWait
 		l.deadline = max(l.deadline, o.Deadline)
@@ -174,6 +177,9 @@
 // noteSilence gives up what the worker holds once its lease has surely ended.
 func (l *link) noteSilence(ctx context.Context, cause error) {
 	defer pause(ctx)
+	l.mutex.Lock()
+	l.silent = true
+	l.mutex.Unlock()
 	if !l.hasLapsed() || !l.supervisor.options.Confirm() {
 		return
 	}
@@ -226,7 +232,7 @@
 func (l *link) register(a modeler.Attempt) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.lapsing || !l.clock.known {
+	if l.silent || !l.clock.known {
 		return false
 	}
 	l.orders[a.Task] = &order{number: a.Number, phase: orderSending, since: l.now()}
--- a/internal/supervisor/sight.go
+++ b/internal/supervisor/sight.go
@@ -74,7 +74,8 @@
 		l.log().Info("worker reached", zap.String("session", l.session.Key()), zap.Int("running", len(look.Running)))
 	}
 	l.clock = l.clock.with(look.Clock, sent, l.now())
-	l.answered = max(l.answered, sent)
+	l.answered = l.now()
+	l.silent = false
 	l.lapsing = false
 }
 
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -35,7 +35,7 @@
 			t.Errorf("the task is %s", phase)
 		}
 		time.Sleep(2 * time.Second)
-		if len(b.worker.ends) != 0 {
+		if b.worker.unforgotten() != 0 {
 			t.Error("the worker was not told to forget a committed end")
 		}
 	})
@@ -63,8 +63,8 @@
 		b.worker.set(func(f *fakeWorker) { f.loseStarts = true })
 		b.startNext()
 		time.Sleep(3 * time.Second)
-		if !b.worker.runs(onlyTask) || b.task().Attempt != 1 || b.worker.startsSeen != 1 {
-			t.Errorf("running %v after %d starts", b.worker.runs(onlyTask), b.worker.startsSeen)
+		if !b.worker.runs(onlyTask) || b.task().Attempt != 1 || b.worker.starts() != 1 {
+			t.Errorf("running %v after %d starts", b.worker.runs(onlyTask), b.worker.starts())
 		}
 	})
 }
@@ -82,9 +82,9 @@
 					return // It came in time and is known to run.
 				}
 				b.worker.set(func(f *fakeWorker) { f.delayStarts = 0 })
-				before := b.worker.startsSeen
+				before := b.worker.starts()
 				time.Sleep(10 * time.Second)
-				if b.worker.startsSeen != before {
+				if b.worker.starts() != before {
 					t.Error("a start took effect after its attempt was given up")
 				}
 			})
@@ -106,12 +106,12 @@
 		if b.task().Phase != modeler.TaskWaiting || b.task().Checkpoint != "saved" {
 			t.Errorf("the task is %+v", b.task())
 		}
-		if b.supervisor.IsReachable(b.worker.session.Key()) {
+		if b.supervisor.IsReachable(onlySession) {
 			t.Error("a silent worker counts as reachable")
 		}
 		b.worker.set(func(f *fakeWorker) { f.cut = false })
 		time.Sleep(2 * time.Second)
-		if !b.supervisor.IsReachable(b.worker.session.Key()) {
+		if !b.supervisor.IsReachable(onlySession) {
 			t.Error("the worker that came back does not count as reachable")
 		}
 	})
@@ -146,7 +146,8 @@
 				if b.task().Phase != tt.want {
 					t.Errorf("the task is %s, want %s", b.task().Phase, tt.want)
 				}
-				if !tt.cut && b.worker.take(StartOrder{Attempt: a, Epoch: 1, Deadline: time.Hour}) == VerdictStarted {
+				late := StartOrder{Attempt: a, Epoch: 1, Deadline: time.Hour}
+				if !tt.cut && b.worker.take(late) == VerdictStarted {
 					t.Error("a late order of the earlier leader took effect")
 				}
 			})
@@ -161,7 +162,7 @@
 		b.setLeads(false)
 		b.supervisor.Start(t.Context(), StartOrder{Attempt: a})
 		time.Sleep(3 * time.Second)
-		if b.worker.startsSeen != 0 {
+		if b.worker.starts() != 0 {
 			t.Error("a start was sent")
 		}
 	})
@@ -188,7 +189,7 @@
 			f.running = map[modeler.TaskName]int{}
 		})
 		time.Sleep(2 * time.Second)
-		if _, ok := b.snapshot().Sessions.Get("w0@1"); ok || b.task().IsHeld() {
+		if _, ok := b.snapshot().Sessions.Get(onlySession); ok || b.task().IsHeld() {
 			t.Error("the session of the earlier life goes on")
 		}
 	})
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -83,6 +83,18 @@
 	return ok
 }
 
+func (f *fakeWorker) starts() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.startsSeen
+}
+
+func (f *fakeWorker) unforgotten() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.ends)
+}
+
 func (f *fakeWorker) isCut() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -209,6 +221,8 @@
 
 var onlyTask = modeler.TaskName{Workflow: "job"}
 
+const onlySession = "w0@1"
+
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	b := &bench{t: t, state: reducer.NewState(), leads: true, began: time.Now()}
@@ -285,7 +299,7 @@
 
 // commit commits the next start of the task and returns its attempt.
 func (b *bench) commit() modeler.Attempt {
-	a := modeler.Attempt{Task: onlyTask, Session: b.worker.session.Key()}
+	a := modeler.Attempt{Task: onlyTask, Session: onlySession}
 	if b.apply(reducer.Command{Kind: reducer.KindStartAttempts, Attempts: []modeler.Attempt{a}}).Accepted != 1 {
 		b.t.Fatal("the start was not accepted")
 	}
