--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -7,7 +7,6 @@
 	"crypto/tls"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,13 +18,10 @@
 	// attemptTimeout bounds one try with one member, so that a member that is
 	// cut off does not use up the time of the call. Control holds no call for longer.
 	attemptTimeout = 700 * time.Millisecond
-	// silentTime is how long a member that did not answer is not turned to,
-	// even when another one still names it as the leader.
-	silentTime = 2 * time.Second
 	// firstPause and maxPause bound the pause between two tries; each is drawn
 	// anew up to the bound, which doubles.
 	firstPause = 10 * time.Millisecond
-	maxPause   = 200 * time.Millisecond
+	maxPause   = 100 * time.Millisecond
 )
 
 // Caller calls the leader of control. It is safe for concurrent use. Every
@@ -39,10 +35,11 @@
 	seeds []string
 	// addresses are those of the members that are known, and the seeds.
 	addresses []string
-	// leader is the address that answered last, or was named by one that did not lead.
+	// leader is the address of the member that leads, as far as is known;
+	// empty while it has to be found.
 	leader string
-	// silent holds when each address last did not answer.
-	silent map[string]time.Time
+	// search is the search for the leader that is under way, or nil.
+	search *search
 }
 
 // New returns a caller that starts with the addresses.
@@ -52,8 +49,6 @@
 		clients:   map[string]*transporter.Client{},
 		seeds:     addresses,
 		addresses: addresses,
-		leader:    addresses[0],
-		silent:    map[string]time.Time{},
 	}
 }
 
@@ -64,7 +59,10 @@
 	pause := firstPause
 	sent := false
 	for {
-		err := c.try(ctx, method, params, result)
+		client, err := c.findLeader(ctx)
+		if err == nil {
+			err = c.try(ctx, client, method, params, result)
+		}
 		if err == nil {
 			return nil
 		}
@@ -102,76 +100,33 @@
 	}
 }
 
-func (c *Caller) try(ctx context.Context, method string, params, result any) error {
-	client := c.client()
+// try calls the member once. A member that does not lead, or does not answer,
+// is not called again before it was found to lead.
+func (c *Caller) try(ctx context.Context, client *transporter.Client, method string, params, result any) error {
 	bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	err := client.Call(bounded, method, params, result)
 	var refusal *modeler.RefusalError
 	switch {
 	case err == nil:
-	case errors.As(err, &refusal) && refusal.Code == modeler.CodeNotLeader:
-		c.follow(client.Address(), refusal.Field)
 	case errors.As(err, &refusal):
-	case ctx.Err() != nil:
-		// The caller's time is over, which says nothing of the member.
+		if refusal.Code == modeler.CodeNotLeader {
+			c.lose(client)
+		}
+	case ctx.Err() != nil && bounded.Err() == nil:
+		// The caller has left, which says nothing of the member.
 	default:
 		client.Reset()
-		c.noteSilent(client.Address())
-		c.follow(client.Address(), "")
+		c.lose(client)
 	}
 	return err
 }
 
-func (c *Caller) client() *transporter.Client {
+// lose notes that the member does not lead or does not answer.
+func (c *Caller) lose(client *transporter.Client) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.clientOf(c.leader)
-}
-
-// clientOf returns the client of the address; the mutex is held.
-func (c *Caller) clientOf(address string) *transporter.Client {
-	client, ok := c.clients[address]
-	if !ok {
-		client = transporter.NewClient(address, c.tls)
-		c.clients[address] = client
+	if c.leader == client.Address() {
+		c.leader = ""
 	}
-	return client
-}
-
-func (c *Caller) noteSilent(address string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.silent[address] = time.Now()
-}
-
-// follow turns to the leader that was named, or else to the next member.
-func (c *Caller) follow(from, named string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.leader != from {
-		return
-	}
-	if named != "" && named != from && !c.isSilent(named) {
-		c.leader = named
-		return
-	}
-	c.leader = c.next(from)
-}
-
-// next returns the address after the one given, without those that were silent
-// a moment ago unless all were.
-func (c *Caller) next(from string) string {
-	start := slices.Index(c.addresses, from) + 1
-	for i := range c.addresses {
-		address := c.addresses[(start+i)%len(c.addresses)]
-		if !c.isSilent(address) {
-			return address
-		}
-	}
-	return c.addresses[start%len(c.addresses)]
-}
-
-func (c *Caller) isSilent(address string) bool {
-	return time.Since(c.silent[address]) < silentTime
 }
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -35,6 +35,8 @@
 	HardState *replicator.HardState `json:"hardState,omitempty"`
 	// Entries replace all entries from the index of the first one on.
 	Entries []replicator.Entry `json:"entries,omitempty"`
+	// Commit is an index up to which the log was known to be committed.
+	Commit uint64 `json:"commit,omitempty"`
 }
 
 // Journal is a member's memory on disk. It is not safe for concurrent use.
@@ -44,6 +46,8 @@
 	log string
 	// hard is the hard state that is on the disk.
 	hard replicator.HardState
+	// commit is the highest index that was saved as committed.
+	commit uint64
 	// failed holds the first error of a write; after it nothing is written.
 	failed error
 }
@@ -144,6 +148,7 @@
 		rest = after
 	}
 	restored.HardState = j.hard
+	restored.Commit = j.commit
 	restored.Entries = entriesAfter(restored.Snapshot, base, entries)
 	return nil
 }
@@ -179,6 +184,7 @@
 	if r.HardState != nil {
 		j.hard = *r.HardState
 	}
+	j.commit = max(j.commit, r.Commit)
 	for _, e := range r.Entries {
 		if e.Index <= base || e.Index > base+uint64(len(entries))+1 {
 			return nil, damaged(j.log, fmt.Sprintf("entry %d does not follow the one before it", e.Index))
@@ -196,6 +202,7 @@
 	if r.HardState != nil {
 		j.hard = *r.HardState
 	}
+	j.commit = max(j.commit, r.Commit)
 	if r.Snapshot != nil {
 		if err := j.Compact(*r.Snapshot, nil); err != nil {
 			return err
@@ -204,7 +211,7 @@
 	if r.HardState == nil && len(r.Entries) == 0 {
 		return nil
 	}
-	frame, err := encodeFrame(record{HardState: r.HardState, Entries: r.Entries})
+	frame, err := encodeFrame(record{HardState: r.HardState, Entries: r.Entries, Commit: j.commit})
 	if err != nil {
 		return err
 	}
@@ -234,7 +241,7 @@
 	if err := j.disk.Replace(snapshotName, frame); err != nil {
 		return j.fail(err, "write snapshot")
 	}
-	frame, err = encodeFrame(record{HardState: &hard, Entries: after})
+	frame, err = encodeFrame(record{HardState: &hard, Entries: after, Commit: j.commit})
 	if err != nil {
 		return err
 	}
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -309,3 +310,21 @@
 		}
 	})
 }
+
+func TestWhatIsKnownAsCommittedComesBack(t *testing.T) {
+	t.Parallel()
+	disk := faker.NewDisk(1)
+	j, _ := open(t, disk)
+	list := []replicator.Entry{{Index: 1, Term: 1, Data: json.RawMessage(`1`)}, {Index: 2, Term: 1, Data: json.RawMessage(`2`)}}
+	if err := j.Save(replicator.Ready{Entries: list, Commit: 1}); err != nil {
+		t.Fatal(err)
+	}
+	_, restored := open(t, disk)
+	if restored.Commit != 1 {
+		t.Fatalf("%d is known as committed, want 1", restored.Commit)
+	}
+	core := replicator.New(replicator.Config{ID: "m0", ElectionTimeout: time.Second}, restored, 0)
+	if committed := core.Ready().Committed; len(committed) != 1 || committed[0].Index != 1 {
+		t.Errorf("%v is applied before any leader is known, want entry 1", committed)
+	}
+}
--- a/internal/messenger/workflows.go
+++ b/internal/messenger/workflows.go
@@ -81,8 +81,8 @@
 // LocateAnswer says where control is.
 type LocateAnswer struct {
 	Cell string `json:"cell"`
-	// Leader is the address of the leader; empty where it is not known.
-	Leader  string              `json:"leader,omitempty"`
+	// Leads says that the member that answers surely leads.
+	Leads   bool                `json:"leads,omitempty"`
 	Members []replicator.Member `json:"members"`
 }
 
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -275,7 +275,7 @@
 // Ready returns what there is to do. It must be followed by Advance before it
 // is called again.
 func (c *Core) Ready() Ready {
-	r := Ready{Early: c.early, Late: c.late, Snapshot: c.pendingSnapshot}
+	r := Ready{Early: c.early, Late: c.late, Snapshot: c.pendingSnapshot, Commit: c.commit}
 	c.early, c.late, c.pendingSnapshot = nil, nil, nil
 	if c.hard != c.saved {
 		hard := c.hard
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -88,7 +88,10 @@
 	Snapshot  *Snapshot
 	HardState *HardState
 	// Entries replace all entries from the index of the first one on.
-	Entries   []Entry
+	Entries []Entry
+	// Commit is saved along with what is saved anyway, so that a member that
+	// starts again can apply at once what it knows to be committed.
+	Commit    uint64
 	Late      []Message
 	Committed []Entry
 }
@@ -127,6 +130,8 @@
 	// membership at the format of the cell.
 	Snapshot Snapshot
 	Entries  []Entry
+	// Commit is an index up to which the log is known to be committed.
+	Commit uint64
 }
 
 // membershipAt is the membership that holds from an index on.
@@ -212,6 +217,7 @@
 	}
 	c.stable = c.lastIndex()
 	c.unstable = c.stable + 1
+	c.advanceCommit(restored.Commit)
 	c.becomeFollower(c.hard.Term, "")
 	return c
 }
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -67,7 +67,7 @@
 func (r *Responder) locate(context.Context, json.RawMessage) (any, error) {
 	return messenger.LocateAnswer{
 		Cell:    r.coordinator.Identity().Cell,
-		Leader:  r.coordinator.Leadership().Address,
+		Leads:   r.coordinator.Confirm(),
 		Members: r.coordinator.MemberList(),
 	}, nil
 }
