--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -113,10 +113,9 @@
 		if refusal.Code == modeler.CodeNotLeader {
 			c.lose(client)
 		}
-	case ctx.Err() != nil && bounded.Err() == nil:
+	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller has left, which says nothing of the member.
 	default:
-		client.Reset()
 		c.lose(client)
 	}
 	return err
--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,127 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/samphirewick/samphirewick/internal/messenger"
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/replicator"
+	"github.com/samphirewick/samphirewick/internal/transporter"
+)
+
+// fakeMember answers calls on a port of its own.
+type fakeMember struct {
+	address string
+	leads   atomic.Bool
+	// silent members take calls and never answer.
+	silent  atomic.Bool
+	calls   atomic.Int64
+	members []replicator.Member
+}
+
+func newFakeMember(t *testing.T) *fakeMember {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &fakeMember{address: listener.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	server := transporter.NewServer(m.handle, nil, 100)
+	go func() { ended <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return m
+}
+
+func (m *fakeMember) handle(ctx context.Context, method string, _ json.RawMessage) (any, error) {
+	if m.silent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if method == messenger.MethodLocate {
+		return messenger.LocateAnswer{Leads: m.leads.Load(), Members: m.members}, nil
+	}
+	m.calls.Add(1)
+	if !m.leads.Load() {
+		return nil, modeler.Refuse(modeler.CodeNotLeader, "", "this member does not lead")
+	}
+	return struct{}{}, nil
+}
+
+func call(t *testing.T, c *Caller, wait time.Duration) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	var answer struct{}
+	return c.Call(ctx, "work", struct{}{}, &answer)
+}
+
+func TestTheLeaderIsFoundAndFollowed(t *testing.T) {
+	t.Parallel()
+	a, b := newFakeMember(t), newFakeMember(t)
+	a.leads.Store(true)
+	c := New([]string{a.address, b.address}, nil)
+	if err := call(t, c, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	a.leads.Store(false)
+	b.leads.Store(true)
+	if err := call(t, c, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if b.calls.Load() != 1 {
+		t.Errorf("the new leader had %d calls, want 1", b.calls.Load())
+	}
+}
+
+func TestACallIsNotSentToAMemberThatDoesNotLead(t *testing.T) {
+	t.Parallel()
+	a, silent := newFakeMember(t), newFakeMember(t)
+	silent.silent.Store(true)
+	c := New([]string{silent.address, a.address}, nil)
+	err := call(t, c, 600*time.Millisecond)
+	var refusal *modeler.RefusalError
+	if !errors.As(err, &refusal) || refusal.Code != modeler.CodeUnavailable {
+		t.Fatalf("got %v, want a refusal that says that nothing was carried out", err)
+	}
+	if a.calls.Load() != 0 {
+		t.Error("the call went to a member that does not lead")
+	}
+}
+
+func TestAMemberThatIsNoSeedIsLearnt(t *testing.T) {
+	t.Parallel()
+	seed, added := newFakeMember(t), newFakeMember(t)
+	seed.members = []replicator.Member{{ID: "seed", Address: seed.address}, {ID: "added", Address: added.address}}
+	added.leads.Store(true)
+	c := New([]string{seed.address}, nil)
+	if err := call(t, c, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestAnAnswerThatDoesNotComeLeavesTheOutcomeUnknown(t *testing.T) {
+	t.Parallel()
+	a := newFakeMember(t)
+	a.leads.Store(true)
+	c := New([]string{a.address}, nil)
+	if err := call(t, c, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	a.silent.Store(true)
+	err := call(t, c, time.Second)
+	var refusal *modeler.RefusalError
+	if !errors.As(err, &refusal) || refusal.Code != modeler.CodeUnknownOutcome {
+		t.Errorf("got %v, want an unknown outcome", err)
+	}
+}
