--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -143,6 +143,7 @@
 		EntryLease:    leases.Entry,
 		RenewInterval: leases.Renew,
 		Learn:         m.courier.Learn,
+		Log:           m.log,
 	})
 	return nil
 }
--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -253,9 +253,10 @@
 	asked := a.options.Now()
 	answer, err := a.options.Ask(bounded, address, step, workers)
 	a.take(queue, step, address, sessions, answer, err)
-	if err != nil && ctx.Err() == nil {
-		a.options.Log.Info("advice not given", zap.String("workflow", step.Workflow), zap.Int("step", step.Step),
-			zap.String("entry", address), zap.Duration("after", a.options.Now()-asked), zap.Error(err))
+	if ctx.Err() == nil {
+		a.options.Log.Info("advice", zap.String("workflow", step.Workflow), zap.Int("occurrence", step.Occurrence),
+			zap.Int("step", step.Step), zap.String("entry", address), zap.Duration("after", a.options.Now()-asked),
+			zap.Int("asked", len(workers)), zap.Int("permitted", len(answer.Tickets)), zap.Error(err))
 	}
 	a.options.Answered()
 }
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -7,6 +7,8 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/controller"
 	"github.com/samphirewick/samphirewick/internal/coordinator"
 	"github.com/samphirewick/samphirewick/internal/messenger"
@@ -29,6 +31,8 @@
 	RenewInterval time.Duration
 	// Learn is told the addresses of members that send messages. Never nil.
 	Learn func(batch messenger.RaftBatch)
+	// Log takes a line for each decision about a workflow. Never nil.
+	Log *zap.Logger
 }
 
 // method answers one kind of call.
--- a/internal/responder/workflows.go
+++ b/internal/responder/workflows.go
@@ -4,6 +4,8 @@
 	"context"
 	"strings"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/controller"
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
@@ -38,7 +40,9 @@
 	if known, ok := r.coordinator.State().Workflows.Get(id); ok && len(known.Runs) > 0 {
 		return struct{}{}, nil
 	}
-	_, err := r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
+	result, err := r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
+	r.options.Log.Info("workflow submitted", zap.String("workflow", id), zap.String("queue", queue.Name),
+		zap.Uint64("revision", result.Revision), zap.Error(err))
 	return struct{}{}, err
 }
 
--- a/internal/supervisor/sight.go
+++ b/internal/supervisor/sight.go
@@ -164,7 +164,7 @@
 		if o, ok := l.orders[e.Attempt.Task]; ok && o.number <= e.Attempt.Number {
 			delete(l.orders, e.Attempt.Task)
 		}
-		l.log().Debug("attempt ended", zap.Stringer("task", e.Attempt.Task), zap.Int("attempt", e.Attempt.Number),
+		l.log().Info("attempt ended", zap.Stringer("task", e.Attempt.Task), zap.Int("attempt", e.Attempt.Number),
 			zap.String("session", e.Attempt.Session), zap.String("outcome", string(e.Outcome)))
 	}
 }
