--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -328,3 +328,27 @@
 		t.Errorf("%v is applied before any leader is known, want entry 1", committed)
 	}
 }
+
+func TestFoundersAgreeWithoutSpeaking(t *testing.T) {
+	t.Parallel()
+	addresses := []string{"10.0.0.2:1", "10.0.0.1:1", "10.0.0.3:1"}
+	disk := faker.NewDisk(1)
+	first, err := journaler.FormatFounder(disk.Open(), "10.0.0.1:1", addresses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.Reverse(addresses)
+	second, err := journaler.FormatFounder(faker.NewDisk(2).Open(), "10.0.0.2:1", addresses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.Cell != second.Cell || !slices.Equal(first.Base(), second.Base()) || first.Member == second.Member {
+		t.Errorf("the founders differ: %+v and %+v", first, second)
+	}
+	if again, err := journaler.ReadIdentity(disk.Open()); err != nil || again.Member != first.Member || len(again.Base()) != 3 {
+		t.Errorf("the identity came back as %+v: %v", again, err)
+	}
+	if _, err := journaler.FormatFounder(faker.NewDisk(3).Open(), "10.0.0.9:1", addresses); code(err) != journaler.CodeIdentity {
+		t.Errorf("one that is no seed founded a cell: %v", err)
+	}
+}
