feat: a leader that stops hands over, and a leaving entry closes connections after their answers

Cause (roll_term busy on both sites): each stop of the leader cost an election timeout and its spread. A leader that stops now gives up its lease, and asks a voter with the whole log to campaign at once; voters grant that in spite of the lease. It never leases again in its term, as the message may come late.

--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -216,6 +216,7 @@
 	m.log.Info("member started", zap.String("member", m.coordinator.Identity().Member),
 		zap.String("cell", m.coordinator.Identity().Cell), zap.Uint64("revision", m.coordinator.State().Revision))
 	err = runner.Run(context.Background(),
+		m.handOver,
 		func(ctx context.Context) error { return server.Serve(ctx, listener) },
 		m.manager.Run,
 		m.coordinator.Run,
@@ -230,6 +231,18 @@
 	return errors.Join(err, m.meter.Close())
 }
 
+// handOverTimeout bounds the wait for another member to lead.
+const handOverTimeout = 500 * time.Millisecond
+
+// handOver gives the leadership away before the member stops.
+func (m *member) handOver(ctx context.Context) error {
+	<-ctx.Done()
+	bounded, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	m.coordinator.HandOver(bounded)
+	return nil
+}
+
 // locate keeps the addresses of the other members up to date.
 func (m *member) locate(ctx context.Context) error {
 	if m.control == nil {
--- a/cmd/samphirewick-entry/internal/commander/platform.go
+++ b/cmd/samphirewick-entry/internal/commander/platform.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	server := platform.NewFront(e.control.Call, e.log)
+	server := platform.NewFront(e.control.Call, e.drainer.isDraining, e.log)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -125,8 +125,12 @@
 	proposal *proposal
 	messages *delivery
 	members  *memberProposal
+	transfer *transfer
 }
 
+// transfer asks the leader to hand over.
+type transfer struct{}
+
 type proposal struct {
 	data   json.RawMessage
 	answer chan answer
@@ -245,6 +249,8 @@
 		c.takeMessages(*e.messages)
 	case e.members != nil:
 		c.takeMembers(*e.members)
+	case e.transfer != nil:
+		c.takeTransfer()
 	}
 }
 
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -127,6 +127,37 @@
 	c.members.Store(&members)
 }
 
+// transferPoll is how often a leader that hands over looks whether it has.
+const transferPoll = 10 * time.Millisecond
+
+// HandOver gives the leadership to another member, if this one leads, and
+// waits for that until the context ends.
+func (c *Coordinator) HandOver(ctx context.Context) {
+	if !c.Leadership().Leads {
+		return
+	}
+	select {
+	case c.events <- event{transfer: &transfer{}}:
+	default:
+		return
+	}
+	for c.Leadership().Leads {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(transferPoll):
+		}
+	}
+}
+
+// takeTransfer gives up the lease before any other member can be elected.
+func (c *Coordinator) takeTransfer() {
+	c.leaseUntil.Store(0)
+	if c.core.Transfer() {
+		c.options.Log.Info("leadership handed over", zap.Uint64("term", c.core.Term()))
+	}
+}
+
 // ChangeMembers commits a membership that change derives from the present one.
 func (c *Coordinator) ChangeMembers(
 	ctx context.Context, change func([]replicator.Member) ([]replicator.Member, *modeler.RefusalError),
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -8,6 +8,7 @@
 	}
 	c.role = RoleFollower
 	c.leader = leader
+	c.transferring = false
 	c.votes = nil
 	c.peers = nil
 	if leader != "" {
@@ -50,6 +51,7 @@
 		if m.Voter && m.ID != c.config.ID {
 			c.sendLate(Message{
 				Kind: kind, To: m.ID, Term: term, Index: c.lastIndex(), LogTerm: c.lastTerm(),
+				Transferred: c.transferred,
 			})
 		}
 	}
@@ -115,6 +117,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role = RoleLeader
+	c.transferring = false
 	c.leader = c.config.ID
 	c.elected = c.now
 	c.votes = nil
@@ -128,7 +131,8 @@
 func (c *Core) tickLeader() {
 	const silentTimeouts = 2
 	silent := c.now - max(c.quorumAcked(), c.elected)
-	if silent > silentTimeouts*c.config.ElectionTimeout {
+	handedOver := c.transferring && c.now >= c.transferUntil
+	if handedOver || silent > silentTimeouts*c.config.ElectionTimeout {
 		c.becomeFollower(c.hard.Term, "")
 		return
 	}
@@ -144,7 +148,7 @@
 // LeaseUntil returns the time before which no other member can be elected, or
 // zero where the member does not lead.
 func (c *Core) LeaseUntil() time.Duration {
-	if c.role != RoleLeader {
+	if c.role != RoleLeader || c.transferring {
 		return 0
 	}
 	return c.quorumAcked() + c.config.LeaseDuration
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -38,7 +38,7 @@
 // Propose appends data and returns the index of its entry. Whether it gets
 // committed shows in Ready: an entry of another term at the index says no.
 func (c *Core) Propose(data json.RawMessage) (uint64, error) {
-	if c.role != RoleLeader {
+	if c.role != RoleLeader || c.transferring {
 		return 0, ErrNotLeader
 	}
 	return c.appendEntry(Entry{Data: data}), nil
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -57,6 +57,8 @@
 	MessageAppendReply   MessageKind = "appendReply"
 	MessageSnapshot      MessageKind = "snapshot"
 	MessageSnapshotReply MessageKind = "snapshotReply"
+	// MessageCampaign is from a leader that hands over.
+	MessageCampaign MessageKind = "campaign"
 )
 
 // Message goes from one member to another. It may be lost, repeated or late.
@@ -77,6 +79,8 @@
 	// SentAt is the leader's clock; a reply brings it back.
 	SentAt   time.Duration `json:"sentAt,omitempty"`
 	Snapshot *Snapshot     `json:"snapshot,omitempty"`
+	// Transferred says that the leader gave up its lease for the candidate.
+	Transferred bool `json:"transferred,omitempty"`
 }
 
 // Ready is what the caller has to do, in this order: send Early, save
@@ -174,6 +178,12 @@
 	nextHeartbeat time.Duration
 	// elected is when the member became leader.
 	elected time.Duration
+	// transferring leaders hand over: they have no lease and take no proposals.
+	transferring bool
+	// transferUntil is when a leader that hands over steps down in any case.
+	transferUntil time.Duration
+	// transferred is set while the member campaigns on the word of the leader.
+	transferred bool
 
 	snapshot Snapshot
 	// entries start right after offset.
@@ -275,6 +285,8 @@
 		c.handleSnapshot(m)
 	case MessageAppendReply, MessageSnapshotReply:
 		c.handleAppendReply(m)
+	case MessageCampaign:
+		c.handleCampaign(m)
 	}
 }
 
@@ -293,7 +305,7 @@
 		c.handleVoteReply(m)
 		return false
 	case MessageVote:
-		if c.hearsLeader() {
+		if c.hearsLeader() && !m.Transferred {
 			return false
 		}
 		c.becomeFollower(m.Term, "")
