--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -25,6 +25,7 @@
 	"github.com/samphirewick/samphirewick/internal/loader"
 	"github.com/samphirewick/samphirewick/internal/logger"
 	"github.com/samphirewick/samphirewick/internal/meter"
+	"github.com/samphirewick/samphirewick/internal/reloader"
 	"github.com/samphirewick/samphirewick/internal/replicator"
 	"github.com/samphirewick/samphirewick/internal/responder"
 	"github.com/samphirewick/samphirewick/internal/runner"
@@ -59,6 +60,9 @@
 // member holds the parts of a running member.
 type member struct {
 	settings loader.Control
+	// path is that of the settings file.
+	path     string
+	reloader *reloader.Reloader
 	log      *zap.Logger
 	disk     journaler.Disk
 	tls      *tls.Config
@@ -77,13 +81,14 @@
 		return err
 	}
 	runner.LimitMemory(settings.Limits.MemoryMegabytes)
-	m := &member{settings: settings}
+	m := &member{settings: settings, path: options.settings}
 	log, endLog, err := logger.New(settings.Log.Level, "control", settings.Member.Name)
 	if err != nil {
 		return err
 	}
 	defer endLog()
 	m.log = log
+	m.reloader = reloader.New(m.path, m.reload, log)
 	if m.tls, err = transporter.FromSettings(settings.TLS, m.log); err != nil {
 		return err
 	}
@@ -121,6 +126,7 @@
 		KeepEntries:   uint64(m.settings.Journal.KeepEntries),
 		ReserveBytes:  uint64(m.settings.Journal.ReserveMegabytes) * megabyte,
 		FreeBytes:     m.disk.FreeBytes,
+		ProbeDisk:     func() error { return journaler.Probe(m.disk) },
 		SaveIdentity:  func(i journaler.Identity) error { return journaler.WriteIdentity(m.disk, i) },
 		Send:          m.courier.Send,
 		Voters:        m.voters(),
@@ -226,6 +232,7 @@
 		m.courier.Run,
 		m.servePlatform,
 		m.locate,
+		m.reloader.Run,
 		m.join,
 		m.measure,
 		func(ctx context.Context) error { return m.meter.Serve(ctx, admin, m.health()) },
@@ -246,6 +253,19 @@
 	return nil
 }
 
+// reload takes the seeds from the settings file; the rest of it counts from the
+// next start.
+func (m *member) reload() error {
+	settings, err := loader.LoadControl(m.path)
+	if err != nil {
+		return err
+	}
+	if seeds := settings.Cell.Addresses(); m.control != nil && len(seeds) > 0 {
+		m.control.SetSeeds(seeds)
+	}
+	return nil
+}
+
 // locate keeps the addresses of the other members up to date.
 func (m *member) locate(ctx context.Context) error {
 	if m.control == nil {
--- a/cmd/samphirewick-entry/internal/commander/run.go
+++ b/cmd/samphirewick-entry/internal/commander/run.go
@@ -27,6 +27,7 @@
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/receiver"
 	"github.com/samphirewick/samphirewick/internal/relayer"
+	"github.com/samphirewick/samphirewick/internal/reloader"
 	"github.com/samphirewick/samphirewick/internal/router"
 	"github.com/samphirewick/samphirewick/internal/runner"
 	"github.com/samphirewick/samphirewick/internal/sender"
@@ -58,8 +59,11 @@
 
 // entry holds the parts of a running entry.
 type entry struct {
-	settings      loader.Entry
+	settings loader.Entry
+	// path is that of the settings file.
+	path          string
 	log           *zap.Logger
+	reloader      *reloader.Reloader
 	tls           *tls.Config
 	authenticator *authenticator.Authenticator
 	control       *caller.Caller
@@ -81,7 +85,7 @@
 		return err
 	}
 	runner.LimitMemory(settings.Limits.MemoryMegabytes)
-	e := &entry{settings: settings}
+	e := &entry{settings: settings, path: options.settings}
 	log, endLog, err := logger.New(settings.Log.Level, "entry", settings.Instance.Name)
 	if err != nil {
 		return err
@@ -94,10 +98,22 @@
 	if e.authenticator, err = e.loadCredentials(); err != nil {
 		return err
 	}
+	e.reloader = reloader.New(e.path, e.reload, e.log)
 	e.assemble()
 	return e.serve()
 }
 
+// reload takes the addresses of control from the settings file; the rest of it
+// counts from the next start.
+func (e *entry) reload() error {
+	settings, err := loader.LoadEntry(e.path)
+	if err != nil {
+		return err
+	}
+	e.control.SetSeeds(settings.Control.Members())
+	return nil
+}
+
 func (e *entry) loadCredentials() (*authenticator.Authenticator, error) {
 	if !e.settings.Callers.Authentication.IsOn() {
 		e.log.Warn("authentication of callers is off by the settings")
@@ -223,6 +239,7 @@
 		e.relayer.Run,
 		e.tracker.Run,
 		e.control.Run,
+		e.reloader.Run,
 		e.serveReady,
 		e.measure,
 		func(ctx context.Context) error { return e.meter.Serve(ctx, admin, e.health()) },
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -140,3 +140,14 @@
 		t.Errorf("the call waited for the frozen member: %v", err)
 	}
 }
+
+func TestNewSeedsAreAskedToo(t *testing.T) {
+	t.Parallel()
+	gone, next := newFakeMember(t), newFakeMember(t)
+	next.leads.Store(true)
+	c := New([]string{gone.address}, nil)
+	c.SetSeeds([]string{next.address})
+	if err := call(t, c, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/caller/locator.go
+++ b/internal/caller/locator.go
@@ -170,3 +170,16 @@
 	}
 	c.addresses = addresses
 }
+
+// SetSeeds replaces the addresses from the settings. The members that are known
+// stay known until one of them names the present ones.
+func (c *Caller) SetSeeds(seeds []string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.seeds = seeds
+	for _, seed := range seeds {
+		if !slices.Contains(c.addresses, seed) {
+			c.addresses = append(slices.Clone(c.addresses), seed)
+		}
+	}
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -54,6 +54,9 @@
 	ReserveBytes uint64
 	// FreeBytes tells the room on the disk. Never nil.
 	FreeBytes func() (uint64, error)
+	// ProbeDisk reports whether the disk takes a write; nil ends a member at once
+	// whose disk refused one.
+	ProbeDisk func() error
 	// SaveIdentity puts a newcomer's cell on the disk. Never nil.
 	SaveIdentity func(journaler.Identity) error
 	// Send delivers messages to the member; it may drop them and must not block. Never nil.
@@ -204,6 +207,9 @@
 		err = encodeErr
 	}
 	c.failPending(modeler.Refuse(modeler.CodeUnknownOutcome, "", "this member stops"))
+	if isDiskError(err) && c.options.ProbeDisk != nil {
+		c.standBy(ctx, err)
+	}
 	return err
 }
 
--- a/internal/journaler/identity.go
+++ b/internal/journaler/identity.go
@@ -121,3 +121,20 @@
 	}
 	return i, nil
 }
+
+const (
+	probeFile = "probe"
+	// probeBytes is the size of a write that a journal makes at most times.
+	probeBytes = 64 << 10
+)
+
+// Probe reports whether the disk takes a write.
+func Probe(disk Disk) error {
+	if err := disk.Replace(probeFile, make([]byte, probeBytes)); err != nil {
+		return diskError(err, "write", probeFile)
+	}
+	if err := disk.Remove(probeFile); err != nil {
+		return diskError(err, "remove", probeFile)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/reloader/reloader_test.go
@@ -0,0 +1,82 @@
+package reloader
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"go.uber.org/zap"
+)
+
+func TestOnlyANewContentIsApplied(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("a")
+	applied, refuse := 0, false
+	r := New(path, func() error {
+		applied++
+		if refuse {
+			return errors.New("settings [cell] seeds: missing")
+		}
+		return nil
+	}, zap.NewNop())
+	r.look("poll")
+	if applied != 0 {
+		t.Error("an unchanged file was applied")
+	}
+	write("b")
+	r.look("poll")
+	r.look("poll")
+	if applied != 1 {
+		t.Errorf("a change was applied %d times", applied)
+	}
+	refuse = true
+	write("c")
+	r.look("poll")
+	refuse = false
+	write("d")
+	r.look("poll")
+	if applied != 3 {
+		t.Errorf("applied %d times; a refused file is followed by the next one", applied)
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	r.look("poll")
+	if applied != 3 {
+		t.Error("a missing file was applied")
+	}
+}
+
+func TestASignalReloadsAndEndsNothing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(path, []byte("a"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	applied := make(chan struct{})
+	r := New(path, func() error {
+		close(applied)
+		return nil
+	}, zap.NewNop())
+	if err := os.WriteFile(path, []byte("b"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	<-applied
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
