--- a/internal/supervisor/sight.go
+++ b/internal/supervisor/sight.go
@@ -65,9 +65,26 @@
 			l.requestStop(ctx, modeler.Attempt{Task: r.Task, Session: session.Key(), Number: r.Number})
 		}
 	}
+	l.forgetOrders(s, session)
 	l.commitEnds(ctx, ends, last)
 }
 
+// forgetOrders drops what is known of attempts that the state no longer holds.
+// An order younger than the look may be younger than the state too.
+func (l *link) forgetOrders(s sighting, session modeler.Session) {
+	held := make(map[modeler.TaskName]bool, len(session.Tasks))
+	for _, name := range session.Tasks {
+		held[name] = true
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for name, o := range l.orders {
+		if !held[name] && o.phase != orderSending && o.since < s.sent {
+			delete(l.orders, name)
+		}
+	}
+}
+
 func (l *link) noteAnswer(sent time.Duration, look Look) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -212,3 +212,27 @@
 		b.supervisor.AwaitEnds(t.Context(), "another job")
 	})
 }
+
+func TestLooksAreRareOnceNothingIsUnclear(t *testing.T) {
+	tests := map[string]func(f *fakeWorker){
+		"a start was refused":   func(f *fakeWorker) { f.full = true },
+		"a start had no answer": func(f *fakeWorker) { f.delayStarts = time.Hour },
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			supervised(t, func(t *testing.T, b *bench) {
+				b.worker.set(fault)
+				b.startNext()
+				time.Sleep(5 * time.Second)
+				if b.task().IsHeld() {
+					t.Fatal("the attempt was not given up")
+				}
+				before := b.worker.looks()
+				time.Sleep(10 * time.Second)
+				if looks := b.worker.looks() - before; looks > 21 {
+					t.Errorf("%d looks in 10 s, want one each %s", looks, lookWait)
+				}
+			})
+		})
+	}
+}
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -27,13 +27,16 @@
 	fenced   map[modeler.TaskName]int
 	ends     []Ended
 	forgot   uint64
-	// startsSeen counts the starts that took effect.
+	// startsSeen counts the starts that took effect, looksSeen the looks.
 	startsSeen int
+	looksSeen  int
 
 	// cut workers answer nothing and get nothing.
 	cut bool
 	// loseStarts starts take effect and their answers are lost.
 	loseStarts bool
+	// full workers refuse starts.
+	full bool
 	// delayStarts starts have no answer and take effect after the delay.
 	delayStarts time.Duration
 }
@@ -89,6 +92,12 @@
 	return f.startsSeen
 }
 
+func (f *fakeWorker) looks() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.looksSeen
+}
+
 func (f *fakeWorker) unforgotten() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -115,6 +124,8 @@
 	switch {
 	case o.Epoch < f.epoch:
 		return VerdictFenced
+	case f.full:
+		return VerdictFull
 	case o.Attempt.Number <= f.fenced[o.Attempt.Task]:
 		return VerdictStale
 	case o.Deadline <= f.clock():
@@ -166,6 +177,7 @@
 }
 
 func (f *fakeWorker) look(ctx context.Context, o LookOrder) (Look, error) {
+	f.set(func(f *fakeWorker) { f.looksSeen++ })
 	wait := time.NewTimer(o.Wait)
 	defer wait.Stop()
 	for {
