--- a/cmd/samphirewick-control/internal/commander/platform.go
+++ b/cmd/samphirewick-control/internal/commander/platform.go
@@ -5,8 +5,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -42,29 +40,7 @@
 
 // servePlatform answers workers and operators of the platform until the context ends.
 func (m *member) servePlatform(ctx context.Context) error {
-	if m.settings.Platform.Control == "" {
-		<-ctx.Done()
-		return nil
-	}
-	listener, err := net.Listen("tcp", m.settings.Platform.Control)
-	if err != nil {
-		return err
-	}
-	server := platform.NewControl(m.callControl, m.log)
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	bounded, cancel := context.WithTimeout(context.Background(), controlDrainTimeout)
-	defer cancel()
-	err = server.Shutdown(bounded)
-	if served := <-failed; !errors.Is(served, http.ErrServerClosed) {
-		err = errors.Join(err, served)
-	}
-	return err
+	return platform.Serve(ctx, m.settings.Platform.Control, platform.NewControl(m.callControl, m.log), controlDrainTimeout)
 }
 
 // controlDrainTimeout bounds the wait for answers to workers and operators.
--- a/cmd/samphirewick-entry/internal/commander/platform.go
+++ b/cmd/samphirewick-entry/internal/commander/platform.go
@@ -3,62 +3,27 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
-	"net/http"
+	"time"
 
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/platform"
 )
 
-// servePlatform answers the platform's callers. At its end the listener stays
-// open until the balancer has noticed, and what is in flight is answered.
+// servePlatform answers the platform's callers. Its context ends only after the
+// balancer had the time to notice that the entry leaves.
 func (e *entry) servePlatform(ctx context.Context) error {
-	if e.settings.Platform.Front == "" {
-		<-ctx.Done()
-		return nil
-	}
-	listener, err := net.Listen("tcp", e.settings.Platform.Front)
-	if err != nil {
-		return err
-	}
 	server := platform.NewFront(e.control.Call, e.drainer.isDraining, e.log)
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	server.SetKeepAlivesEnabled(false)
-	bounded, cancel := context.WithTimeout(context.Background(), e.settings.Instance.DrainTimeout)
-	defer cancel()
-	return ignoreClosed(errors.Join(server.Shutdown(bounded), <-failed))
+	return platform.Serve(ctx, e.settings.Platform.Front, server, e.settings.Instance.DrainTimeout)
 }
 
 // serveReady tells the platform's balancer whether the entry takes callers.
 func (e *entry) serveReady(ctx context.Context) error {
-	if e.settings.Platform.Ready == "" {
-		<-ctx.Done()
-		return nil
-	}
-	listener, err := net.Listen("tcp", e.settings.Platform.Ready)
-	if err != nil {
-		return err
-	}
-	server := platform.NewReady(e.health().Ready, e.log)
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	return ignoreClosed(server.Serve(listener))
+	return platform.Serve(ctx, e.settings.Platform.Ready, platform.NewReady(e.health().Ready, e.log), readyDrainTimeout)
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
+// readyDrainTimeout bounds the wait for answers to the balancer.
+const readyDrainTimeout = 100 * time.Millisecond
 
 // advise asks the platform's policy service for the leader.
 func (e *entry) advise(ctx context.Context, params json.RawMessage) (any, error) {
