--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -97,11 +97,14 @@
 		b.startNext()
 		time.Sleep(2500 * time.Millisecond)
 		b.worker.set(func(f *fakeWorker) { f.cut = true })
-		for b.task().IsHeld() {
+		for cut := time.Now(); b.task().IsHeld(); {
 			time.Sleep(5 * time.Millisecond)
 			if !b.task().IsHeld() && b.worker.runs(onlyTask) {
 				t.Fatal("the attempt was given up while the worker ran it")
 			}
+			if time.Since(cut) > 3*workerLease {
+				t.Fatal("the attempt of a silent worker is not given up")
+			}
 		}
 		if b.task().Phase != modeler.TaskWaiting || b.task().Checkpoint != "saved" {
 			t.Errorf("the task is %+v", b.task())
