fix: entries are woken only by changes that their view holds

Cause: viewer.Relevant passed every touch but those of jobs on to the feed that entries watch. Each commit about a workflow or a session therefore ended the watch of every entry with an empty answer, and each answer carries the loads of all other entries. Found with a profile of the leader; ruled out: the calls to workers (6 % of the profile), the log (2 %). Change: only backend servers, entries and documents are published to entries.

--- a/internal/viewer/viewer.go
+++ b/internal/viewer/viewer.go
@@ -128,14 +128,14 @@
 	var relevant []reducer.Touch
 	for _, t := range touched {
 		switch t.Kind {
-		case reducer.TouchJob:
-			continue
 		case reducer.TouchWorker:
-			if sameBackend(before, after, t.Key) {
-				continue
+			if !sameBackend(before, after, t.Key) {
+				relevant = append(relevant, t)
 			}
+		case reducer.TouchEntry, reducer.TouchDocument:
+			relevant = append(relevant, t)
+		default:
 		}
-		relevant = append(relevant, t)
 	}
 	return relevant
 }
