--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -21,6 +21,8 @@
 	lengthBytes = 4
 	// maxFrame bounds one call, in bytes; a snapshot of the state has to fit.
 	maxFrame = 256 << 20
+	// wholeRead is up to which length, in bytes, memory for a payload is taken at once.
+	wholeRead = 64 << 10
 )
 
 // codec frames each JSON object with its length.
@@ -28,7 +30,7 @@
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (codec) WriteObject(stream io.Writer, object any) error {
-	payload, err := json.Marshal(object)
+	payload, err := marshal(object)
 	if err != nil {
 		return err
 	}
@@ -51,16 +53,40 @@
 	if length > maxFrame {
 		return fmt.Errorf("a frame of %d bytes is longer than %d", length, maxFrame)
 	}
-	payload, err := io.ReadAll(io.LimitReader(stream, int64(length)))
+	payload, err := readPayload(stream, int(length))
 	if err != nil {
 		return err
 	}
-	if len(payload) < int(length) {
-		return io.ErrUnexpectedEOF
+	if u, ok := into.(json.Unmarshaler); ok {
+		return u.UnmarshalJSON(payload)
 	}
 	return json.Unmarshal(payload, into)
 }
 
+// marshal calls the messages of the library directly: json.Marshal would
+// parse and copy once more what they return.
+func marshal(object any) ([]byte, error) {
+	if m, ok := object.(json.Marshaler); ok {
+		return m.MarshalJSON()
+	}
+	return json.Marshal(object)
+}
+
+// readPayload reads the payload of a frame. A long one is read piece by piece,
+// so that memory is taken only for what has arrived.
+func readPayload(stream io.Reader, length int) ([]byte, error) {
+	if length <= wholeRead {
+		payload := make([]byte, length)
+		_, err := io.ReadFull(stream, payload)
+		return payload, err
+	}
+	payload, err := io.ReadAll(io.LimitReader(stream, int64(length)))
+	if err == nil && len(payload) < length {
+		err = io.ErrUnexpectedEOF
+	}
+	return payload, err
+}
+
 // deadlineConn closes a connection on which a write does not get through.
 type deadlineConn struct {
 	net.Conn
