--- a/cmd/samphirewick-control/internal/commander/format.go
+++ b/cmd/samphirewick-control/internal/commander/format.go
@@ -31,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.IsGateway() {
+		return fmt.Errorf("settings [member] dataFolder: missing, so there is nothing to format")
+	}
 	disk, err := journaler.OpenDisk(settings.Member.DataFolder)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/samphirewick-control/internal/commander/gateway.go
@@ -0,0 +1,107 @@
+package commander
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirewick/samphirewick/internal/caller"
+	"github.com/samphirewick/samphirewick/internal/loader"
+	"github.com/samphirewick/samphirewick/internal/messenger"
+	"github.com/samphirewick/samphirewick/internal/meter"
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reloader"
+	"github.com/samphirewick/samphirewick/internal/replicator"
+	"github.com/samphirewick/samphirewick/internal/runner"
+	"github.com/samphirewick/samphirewick/internal/transporter"
+	"github.com/samphirewick/samphirewick/platform"
+)
+
+// gateway is a control process on a machine without a disk. It is no member
+// and keeps no state: it passes the calls of workers and operators on to the
+// leader, and tells other processes which members it knows.
+type gateway struct {
+	settings loader.Control
+	path     string
+	log      *zap.Logger
+	tls      *tls.Config
+	control  *caller.Caller
+	reloader *reloader.Reloader
+	meter    *meter.Meter
+}
+
+func newGateway(settings loader.Control, path string, log *zap.Logger) (*gateway, error) {
+	g := &gateway{settings: settings, path: path, log: log, meter: meter.New("control")}
+	var err error
+	if g.tls, err = transporter.FromSettings(settings.TLS, log); err != nil {
+		return nil, err
+	}
+	g.control = caller.New(settings.Cell.Addresses(), g.tls)
+	g.reloader = reloader.New(path, g.reload, log)
+	return g, nil
+}
+
+// reload takes the seeds from the settings file.
+func (g *gateway) reload() error {
+	settings, err := loader.LoadControl(g.path)
+	if err != nil {
+		return err
+	}
+	g.control.SetSeeds(settings.Cell.Addresses())
+	return nil
+}
+
+// serve opens the ports and runs the duties until one ends.
+func (g *gateway) serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", g.settings.Member.Address)
+	if err != nil {
+		return err
+	}
+	admin, err := net.Listen("tcp", g.settings.Member.Admin)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	server := transporter.NewServer(g.handle, g.tls, maxCalls)
+	g.log.Info("gateway started", zap.Strings("seeds", g.settings.Cell.Addresses()))
+	err = runner.Run(ctx,
+		func(ctx context.Context) error { return server.Serve(ctx, listener) },
+		func(ctx context.Context) error {
+			front := platform.NewControl(g.control.Call, g.log)
+			return platform.Serve(ctx, g.settings.Platform.Control, front, controlDrainTimeout)
+		},
+		g.control.Run,
+		g.reloader.Run,
+		func(ctx context.Context) error { return g.meter.Serve(ctx, admin, g.health()) },
+	)
+	g.log.Info("gateway stopped", zap.Error(err))
+	return errors.Join(err, g.meter.Close())
+}
+
+// handle answers other processes that know this one from their seeds.
+func (g *gateway) handle(_ context.Context, method string, _ json.RawMessage) (any, error) {
+	if method != messenger.MethodLocate {
+		return nil, modeler.Refuse(modeler.CodeNotLeader, "", "a gateway is no member of control")
+	}
+	var answer messenger.LocateAnswer
+	for _, address := range g.control.Addresses() {
+		answer.Members = append(answer.Members, replicator.Member{Address: address})
+	}
+	return answer, nil
+}
+
+// health says that a gateway is ready while it knows a leader.
+func (g *gateway) health() meter.Health {
+	return meter.Health{
+		Live: func() error { return nil },
+		Ready: func() error {
+			if !g.control.HasLeader() {
+				return errors.New("no leader is known")
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/samphirewick-control/internal/commander/gateway_test.go
@@ -0,0 +1,108 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirewick/samphirewick/internal/loader"
+	"github.com/samphirewick/samphirewick/internal/messenger"
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/transporter"
+)
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// serveLeader answers as a leader does, and passes on the workers that announce themselves.
+func serveLeader(ctx context.Context, t *testing.T) (string, chan string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	announced := make(chan string, 1)
+	server := transporter.NewServer(func(_ context.Context, method string, params json.RawMessage) (any, error) {
+		switch method {
+		case messenger.MethodLocate:
+			return messenger.LocateAnswer{Leads: true}, nil
+		case messenger.MethodAnnounceSession:
+			var call messenger.AnnounceSessionCall
+			err := json.Unmarshal(params, &call)
+			announced <- call.Session.Worker
+			return struct{}{}, err
+		default:
+			return nil, modeler.Refuse(modeler.CodeNotFound, "method", "%q", method)
+		}
+	}, nil, maxCalls)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String(), announced
+}
+
+const heartbeat = `{"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","seq":1,"born":17,
+	"capacity":{"cpu":1000,"memMb":1024,"gpu":0},"labels":["a","r1"]}`
+
+func TestAControlProcessWithoutADiskPassesCallsOnToTheLeader(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	leader, announced := serveLeader(ctx, t)
+	settings := loader.Control{
+		Member:   loader.ControlMember{Address: freeAddress(t), Admin: freeAddress(t)},
+		Cell:     loader.Cell{Seeds: []string{leader}},
+		TLS:      loader.TLS{Mutual: loader.SwitchOff},
+		Platform: loader.Platform{Control: freeAddress(t)},
+	}
+	g, err := newGateway(settings, "", zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- g.serve(ctx) }()
+	url := "http://" + settings.Platform.Control + "/api/instances/i-1/heartbeat"
+	status := 0
+	for status != http.StatusOK && ctx.Err() == nil {
+		response, err := http.Post(url, "application/json", strings.NewReader(heartbeat))
+		if err == nil {
+			status = response.StatusCode
+			_ = response.Body.Close()
+		}
+	}
+	if worker := <-announced; worker != "i-1" {
+		t.Errorf("the leader was told of %q", worker)
+	}
+	bounded, stop := context.WithTimeout(ctx, time.Minute)
+	defer stop()
+	client := transporter.NewClient(settings.Member.Address, nil)
+	defer client.Reset()
+	var answer messenger.LocateAnswer
+	if err := client.Call(bounded, messenger.MethodLocate, struct{}{}, &answer); err != nil {
+		t.Fatal(err)
+	}
+	if answer.Leads || len(answer.Members) != 1 || answer.Members[0].Address != leader {
+		t.Errorf("the gateway says %+v", answer)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -81,13 +81,19 @@
 		return err
 	}
 	runner.LimitMemory(settings.Limits.MemoryMegabytes)
-	m := &member{settings: settings, path: options.settings}
 	log, endLog, err := logger.New(settings.Log.Level, "control", settings.Member.Name)
 	if err != nil {
 		return err
 	}
 	defer endLog()
-	m.log = log
+	if settings.IsGateway() {
+		g, err := newGateway(settings, options.settings, log)
+		if err != nil {
+			return err
+		}
+		return g.serve(context.Background())
+	}
+	m := &member{settings: settings, path: options.settings, log: log}
 	m.reloader = reloader.New(m.path, m.reload, log)
 	if m.tls, err = transporter.FromSettings(settings.TLS, m.log); err != nil {
 		return err
--- a/internal/caller/locator.go
+++ b/internal/caller/locator.go
@@ -183,3 +183,16 @@
 		}
 	}
 }
+
+// Addresses returns the addresses of the members that are known, and the seeds.
+func (c *Caller) Addresses() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.addresses)
+}
+
+// HasLeader reports whether a member is known to lead.
+func (c *Caller) HasLeader() bool {
+	_, ok := c.leaderClient()
+	return ok
+}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -87,7 +87,8 @@
 	Address string `ini:"address"`
 	// Admin is where health and metrics are served.
 	Admin string `ini:"admin"`
-	// DataFolder holds the identity, the log and the snapshots.
+	// DataFolder holds the identity, the log and the snapshots. Where the cell has
+	// seeds it may be empty: the process then is a gateway and no member.
 	DataFolder string `ini:"dataFolder"`
 }
 
@@ -227,7 +228,7 @@
 		needText("member", "name", s.Member.Name),
 		needAddress("member", "address", s.Member.Address),
 		needAddress("member", "admin", s.Member.Admin),
-		needText("member", "dataFolder", s.Member.DataFolder),
+		s.needDataFolder(),
 		checkLevel(s.Log),
 		checkTLS(s.TLS),
 		needAtLeast("leases", "worker", s.Leases.Worker, 2*s.Leases.Renew),
@@ -245,6 +246,16 @@
 	)
 }
 
+// IsGateway reports whether the process keeps no state, for want of a disk.
+func (s *Control) IsGateway() bool { return s.Member.DataFolder == "" }
+
+func (s *Control) needDataFolder() error {
+	if len(s.Cell.Seeds) > 0 {
+		return nil
+	}
+	return needText("member", "dataFolder", s.Member.DataFolder)
+}
+
 func (s *Entry) validate() error {
 	return firstError(
 		needText("instance", "name", s.Instance.Name),
