--- a/internal/controller/measures.go
+++ b/internal/controller/measures.go
@@ -60,6 +60,11 @@
 			m.count("stops", "result", result(err))
 			return err
 		},
+		Pace: func(ctx context.Context, s modeler.Session, o supervisor.PaceOrder) error {
+			err := c.Pace(ctx, s, o)
+			m.count("paces", "result", result(err))
+			return err
+		},
 		Look: func(ctx context.Context, s modeler.Session, o supervisor.LookOrder) (supervisor.Look, error) {
 			look, err := c.Look(ctx, s, o)
 			m.count("looks", "result", result(err))
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -26,6 +26,8 @@
 	// key is that of the session.
 	key  string
 	free modeler.Resources
+	// filling is what tasks that fill were given in this plan, in millicores.
+	filling int64
 	// doubtful rooms are taken only where there is no other.
 	doubtful bool
 }
@@ -125,6 +127,9 @@
 			break
 		}
 		best.free = best.free.Minus(need)
+		if r.step.Fills {
+			best.filling += r.step.Need.Processors
+		}
 		taken[best]++
 		chosen = append(chosen, startOf(r, index, best, permits))
 	}
@@ -149,15 +154,20 @@
 	}
 	ticket, _ := permits.Ticket(at.key)
 	return start{
-		task: modeler.TaskName{
-			Workflow: r.name.Workflow, Occurrence: r.name.Occurrence, Step: r.name.Step, Index: index,
-		},
+		task:    taskOf(r, index),
 		session: at.key,
 		ticket:  ticket,
 		number:  number,
 	}
 }
 
+// taskOf returns the name of the task at the index.
+func taskOf(r *ready, index int) modeler.TaskName {
+	return modeler.TaskName{
+		Workflow: r.name.Workflow, Occurrence: r.name.Occurrence, Step: r.name.Step, Index: index,
+	}
+}
+
 // candidates returns the rooms in which a task of the step may start now.
 func (p *plan) candidates(r *ready, need modeler.Resources, permits adviser.Permits) []*room {
 	offered := p.pool(r.queue.Service).rooms
@@ -205,9 +215,7 @@
 }
 
 func (p *plan) countOf(r *ready, c *room) int {
-	return c.session.CountOf(modeler.TaskName{
-		Workflow: r.name.Workflow, Occurrence: r.name.Occurrence, Step: r.name.Step,
-	})
+	return c.session.CountOf(taskOf(r, 0))
 }
 
 // rank orders rooms; the lowest is the best.
@@ -247,77 +255,12 @@
 		k.far = 1
 	}
 	const thousand = 1000
-	k.left = thousand * (c.free.Processors - need.Processors) / max(1, c.session.Capacity.Processors)
-	return k
-}
-
-// ask asks for permits on workers that have room for what is missing.
-func (p *plan) ask(ctx context.Context, r *ready, missing int, permits adviser.Permits) {
-	need := r.step.CountedNeed()
-	pool := p.pool(r.queue.Service)
-	if pool.unpledged <= 0 {
-		return
-	}
-	pool.unpledged -= int64(missing) * need.Processors
-	if permits.Asking {
-		return
-	}
-	var permitted, unknown []*room
-	slots := 0
-	for _, c := range pool.rooms {
-		if !c.session.HasLabel(r.step.Label) || !need.FitsIn(c.free) {
-			continue
-		}
-		switch permits.Standing(c.key) {
-		case adviser.StandingPermitted:
-			if _, ok := permits.Ticket(c.key); !ok {
-				permitted = append(permitted, c)
-				slots += fitting(c.free, need)
-			}
-		case adviser.StandingUnknown:
-			unknown = append(unknown, c)
-		case adviser.StandingForbidden:
-		}
+	left := c.free.Processors - need.Processors
+	if r.step.Fills {
+		// These use what others leave, so they go where most is left.
+		held := int64(c.session.CountOf(taskOf(r, 0))) * r.step.Need.Processors
+		left = c.filling + held - c.free.Processors
 	}
-	byRoom := func(a, b *room) int { return cmp.Compare(fitting(b.free, need), fitting(a.free, need)) }
-	slices.SortStableFunc(permitted, byRoom)
-	slices.SortStableFunc(unknown, byRoom)
-	asked := permitted
-	if slots < missing {
-		asked = append(asked, unknown[:min(len(unknown), p.wanted(r, missing-slots, unknown))]...)
-	}
-	if len(asked) == 0 {
-		return
-	}
-	sessions := make([]modeler.Session, len(asked))
-	for i, c := range asked {
-		sessions[i] = c.session
-	}
-	if !p.scheduler.options.Adviser.Ask(ctx, r.queue, r.name, sessions) {
-		// No entry can ask now, for any other step either.
-		p.adviserBusy = true
-	}
-}
-
-// wanted returns how many of the unknown rooms to ask about.
-func (p *plan) wanted(r *ready, missing int, unknown []*room) int {
-	need := r.step.CountedNeed()
-	wanted := p.scheduler.options.Adviser.Want(r.queue.Name, missing)
-	slots := 0
-	for i, c := range unknown {
-		if slots += fitting(c.free, need); slots >= wanted {
-			return i + 1
-		}
-	}
-	return len(unknown)
-}
-
-// fitting returns how many tasks of the need fit in the amount, at most a few.
-func fitting(free, need modeler.Resources) int {
-	const most = 4
-	count := 0
-	for count < most && need.Times(int64(count+1)).FitsIn(free) {
-		count++
-	}
-	return count
+	k.left = thousand * left / max(1, c.session.Capacity.Processors)
+	return k
 }
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -351,3 +351,22 @@
 		o.since = l.now()
 	}
 }
+
+// pace tells the worker the pace of an attempt. Without an answer the next
+// look gives cause to tell it again.
+func (l *link) pace(ctx context.Context, a modeler.Attempt, percent int, taken func()) {
+	if !l.supervisor.options.Confirm() {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o := PaceOrder{Attempt: a, Epoch: l.supervisor.options.Epoch, Percent: percent}
+	if err := l.supervisor.options.Calls.Pace(bounded, l.session, o); err != nil {
+		l.log().Info("pace unanswered", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
+			zap.String("session", a.Session), zap.Int("percent", percent), zap.Error(err))
+		return
+	}
+	l.log().Info("task paced", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
+		zap.String("session", a.Session), zap.Int("percent", percent))
+	taken()
+}
--- a/internal/supervisor/sight.go
+++ b/internal/supervisor/sight.go
@@ -43,7 +43,7 @@
 	if !ok {
 		return
 	}
-	l.supervisor.options.Seen(session, look.Running)
+	l.supervisor.options.Seen(ctx, session, look.Running)
 	ends, last := l.listedEnds(look)
 	for _, name := range session.Tasks {
 		w, _ := s.state.Workflows.Get(name.Workflow)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -66,6 +66,14 @@
 	Epoch   uint64
 }
 
+// PaceOrder lets a running attempt work at a part of its speed.
+type PaceOrder struct {
+	Attempt modeler.Attempt
+	Epoch   uint64
+	// Percent is 0 to 100.
+	Percent int
+}
+
 // LookOrder renews the lease of all that a worker runs, and asks what it runs.
 type LookOrder struct {
 	// Deadline is the end of the lease on the worker's clock; zero renews nothing.
@@ -95,6 +103,10 @@
 	Checkpoint string
 	// Percent of the work is done; for a long-running task, 100 while it is at work.
 	Percent int
+	// Figure of the last half second is rough: for a task with a tail target, the
+	// tail of its response times in milliseconds, for any other the millicores that
+	// it uses. Zero where the worker reports none.
+	Figure int
 }
 
 // Ended is an attempt that has ended on a worker.
@@ -111,6 +123,7 @@
 type Calls struct {
 	Start func(ctx context.Context, s modeler.Session, o StartOrder) (Verdict, error)
 	Stop  func(ctx context.Context, s modeler.Session, o StopOrder) error
+	Pace  func(ctx context.Context, s modeler.Session, o PaceOrder) error
 	Look  func(ctx context.Context, s modeler.Session, o LookOrder) (Look, error)
 }
 
@@ -130,7 +143,7 @@
 	// Confirm reports whether this member surely still leads. Never nil.
 	Confirm func() bool
 	// Seen is told what runs on a session after each answered look. Never nil.
-	Seen func(session modeler.Session, running []Running)
+	Seen func(ctx context.Context, session modeler.Session, running []Running)
 	// Ended is told each end that was committed. Never nil.
 	Ended func(end reducer.AttemptEnd)
 	Log   *zap.Logger
@@ -243,6 +256,14 @@
 	}
 }
 
+// Pace tells the worker to let the attempt work at the pace, in percent, and
+// returns at once. taken is called once the worker has answered.
+func (s *Supervisor) Pace(ctx context.Context, attempt modeler.Attempt, percent int, taken func()) {
+	if l, ok := s.link(attempt.Session); ok {
+		go l.pace(ctx, attempt, percent, taken)
+	}
+}
+
 // ShouldStop reports whether the attempt that holds the task has no reason to
 // go on.
 func ShouldStop(state reducer.State, name modeler.TaskName, number int) bool {
