feat: room is kept for gangs that wait

Change: what a gang still misses is subtracted from the permitted workers for the rest of the plan, after it has asked.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -145,6 +145,9 @@
 	if missing > 0 && r.queue.Permit != nil && !p.adviserBusy {
 		p.ask(ctx, r, missing, permits)
 	}
+	if missing > 0 && r.step.Gang && r.queue.Permit != nil {
+		p.reserve(r, need, missing, permits)
+	}
 }
 
 func startOf(r *ready, index int, at *room, permits adviser.Permits) start {
@@ -161,6 +164,20 @@
 	}
 }
 
+// reserve keeps room on the permitted workers for a gang that cannot start yet,
+// so that what comes after it in this plan does not take it task by task.
+func (p *plan) reserve(r *ready, need modeler.Resources, missing int, permits adviser.Permits) {
+	for _, c := range p.pool(r.queue.Service).rooms {
+		if permits.Standing(c.key) != adviser.StandingPermitted || !c.session.HasLabel(r.step.Label) {
+			continue
+		}
+		for missing > 0 && need.FitsIn(c.free) {
+			c.free = c.free.Minus(need)
+			missing--
+		}
+	}
+}
+
 // taskOf returns the name of the task at the index.
 func taskOf(r *ready, index int) modeler.TaskName {
 	return modeler.TaskName{
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -273,6 +273,42 @@
 	})
 }
 
+func TestRoomIsKeptForAGangThatWaits(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t)
+		d.permitted = []string{"w0", "w1"}
+		d.announce(2)
+		d.submit("guarded", "gang", with(tasks(2, 8), func(s *modeler.StepSpec) { s.Gang = true }))
+		d.round("gang")
+		synctest.Wait()
+		d.submit("urgent", "quick", tasks(1, 4))
+		if got := d.round("quick"); len(got) != 1 {
+			t.Fatalf("urgent work started on %v", got)
+		}
+		d.submit("plain", "slow", tasks(3, 2))
+		if got := d.round("slow"); !slices.Equal(got, []string{"w0@1", "w0@1"}) {
+			t.Errorf("less urgent work started on %v, want only where the gang cannot start anyhow", got)
+		}
+	})
+}
+
+func TestPermitsAreAskedForNoMoreWorkThanThereIsRoom(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t)
+		d.announce(1)
+		for i := range 20 {
+			d.submit("guarded", fmt.Sprintf("job%02d", i), tasks(1, 8))
+		}
+		d.round("job00")
+		synctest.Wait()
+		if d.asked != askAhead {
+			t.Errorf("asked for permits of %d steps while there is room for one", d.asked)
+		}
+	})
+}
+
 func TestATicketThatEndedIsAskedForAgain(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
