perf: heartbeats that say nothing new end at any member, and no empty loads in watches

Cause: 233 heartbeats a second of 350 workers all went on to the leader, nearly all of them to say what the state holds already. Each answer to a watch carried an empty load of every entry. Change: a member that has applied all that a worker says answers it itself; whether a worker lives the leader sees by its looks.

--- a/cmd/samphirewick-control/internal/commander/platform.go
+++ b/cmd/samphirewick-control/internal/commander/platform.go
@@ -15,8 +15,12 @@
 	"github.com/samphirewick/samphirewick/platform"
 )
 
-// callControl answers a call here where this member leads, and else by the leader.
+// callControl answers a call here where this member leads, and else by the
+// leader. A heartbeat that says nothing new any member answers.
 func (m *member) callControl(ctx context.Context, method string, params, result any) error {
+	if call, ok := params.(messenger.AnnounceSessionCall); ok && m.responder.KnowsSession(call.Session) {
+		return nil
+	}
 	if !m.coordinator.Leadership().Leads {
 		return m.control.Call(ctx, method, params, result)
 	}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -123,20 +123,21 @@
 	}
 	known.renewed = l.coordinator.Now()
 	known.acked = max(known.acked, acked)
-	if loads != nil {
+	if len(loads) > 0 || len(known.loads) > 0 {
 		known.loads = loads
 	}
 	l.entries[id] = known
 	return true
 }
 
-// Loads returns what the other entries have said of their load.
+// Loads returns what the other entries have said of their load. Entries that
+// never had one are left out, as each answer to each entry carries the rest.
 func (l *Lead) Loads(except string) []messenger.EntryLoad {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	loads := make([]messenger.EntryLoad, 0, len(l.entries))
 	for id, e := range l.entries {
-		if id != except && !e.ending {
+		if id != except && !e.ending && e.loads != nil {
 			loads = append(loads, messenger.EntryLoad{Entry: id, Loads: e.loads})
 		}
 	}
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -18,8 +18,7 @@
 func (r *Responder) announceSession(
 	ctx context.Context, _ *controller.Lead, call messenger.AnnounceSessionCall,
 ) (any, error) {
-	known, ok := r.coordinator.State().Sessions.Get(call.Session.Key())
-	if ok && sameAnnouncement(known, call.Session) {
+	if r.KnowsSession(call.Session) {
 		return struct{}{}, nil
 	}
 	result, err := r.propose(ctx, reducer.Command{Kind: reducer.KindAnnounceSession, Session: &call.Session})
@@ -29,6 +28,14 @@
 	return struct{}{}, err
 }
 
+// KnowsSession reports whether this member has applied all that the worker says
+// of itself. Such a heartbeat needs no leader: what was committed once is not
+// taken back by it, and whether the worker is alive the leader sees by its looks.
+func (r *Responder) KnowsSession(said modeler.Session) bool {
+	known, ok := r.coordinator.State().Sessions.Get(said.Key())
+	return ok && sameAnnouncement(known, said)
+}
+
 func sameAnnouncement(known, said modeler.Session) bool {
 	return known.Address == said.Address && known.Service == said.Service && known.Capacity == said.Capacity &&
 		slices.Equal(known.Labels, said.Labels) && (known.Draining || !said.Draining)
