--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -111,13 +111,30 @@
 	}
 }
 
-// place starts the waiting tasks of a step: of a gang all or none.
+// place starts the waiting tasks of a step: of a gang all or none. For what is
+// missing it asks for permits.
 func (p *plan) place(ctx context.Context, r *ready) {
-	need := r.step.CountedNeed()
 	var permits adviser.Permits
 	if r.queue.Permit != nil {
 		permits = p.scheduler.options.Adviser.Permits(r.name)
 	}
+	chosen := p.choose(r, permits)
+	p.starts = append(p.starts, chosen...)
+	missing := len(r.waiting) - len(chosen)
+	if missing == 0 || r.queue.Permit == nil {
+		return
+	}
+	if !p.adviserBusy {
+		p.ask(ctx, r, missing, permits)
+	}
+	if r.step.Gang {
+		p.reserve(r, missing, permits)
+	}
+}
+
+// choose takes room for the waiting tasks of a step as far as there is any.
+func (p *plan) choose(r *ready, permits adviser.Permits) []start {
+	need := r.step.CountedNeed()
 	rooms := p.candidates(r, need, permits)
 	var chosen []start
 	taken := map[*room]int{}
@@ -126,27 +143,24 @@
 		if best == nil {
 			break
 		}
-		best.free = best.free.Minus(need)
-		if r.step.Fills {
-			best.filling += r.step.Need.Processors
-		}
+		best.take(r.step, 1)
 		taken[best]++
 		chosen = append(chosen, startOf(r, index, best, permits))
 	}
-	missing := len(r.waiting) - len(chosen)
-	if missing > 0 && r.step.Gang {
-		for candidate, count := range taken {
-			candidate.free = candidate.free.Plus(need.Times(int64(count)))
+	if len(chosen) < len(r.waiting) && r.step.Gang {
+		for c, count := range taken {
+			c.take(r.step, -count)
 		}
-		chosen = nil
-		missing = len(r.waiting)
+		return nil
 	}
-	p.starts = append(p.starts, chosen...)
-	if missing > 0 && r.queue.Permit != nil && !p.adviserBusy {
-		p.ask(ctx, r, missing, permits)
-	}
-	if missing > 0 && r.step.Gang && r.queue.Permit != nil {
-		p.reserve(r, need, missing, permits)
+	return chosen
+}
+
+// take takes room for so many tasks of the step, or gives it back.
+func (c *room) take(step modeler.StepSpec, tasks int) {
+	c.free = c.free.Minus(step.CountedNeed().Times(int64(tasks)))
+	if step.Fills {
+		c.filling += int64(tasks) * step.Need.Processors
 	}
 }
 
@@ -166,7 +180,8 @@
 
 // reserve keeps room on the permitted workers for a gang that cannot start yet,
 // so that what comes after it in this plan does not take it task by task.
-func (p *plan) reserve(r *ready, need modeler.Resources, missing int, permits adviser.Permits) {
+func (p *plan) reserve(r *ready, missing int, permits adviser.Permits) {
+	need := r.step.CountedNeed()
 	for _, c := range p.pool(r.queue.Service).rooms {
 		if permits.Standing(c.key) != adviser.StandingPermitted || !c.session.HasLabel(r.step.Label) {
 			continue
