--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -15,6 +15,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -181,3 +182,16 @@
 		})
 	}
 }
+
+func TestLongAndShortCallsCrossWhole(t *testing.T) {
+	t.Parallel()
+	client := transporter.NewClient(serve(t, nil, echo), nil)
+	t.Cleanup(client.Reset)
+	for _, length := range []int{0, 1, 64 << 10, 1 << 20} {
+		text := strings.Repeat("é", length)
+		var answer string
+		if err := client.Call(t.Context(), "echo", text, &answer); err != nil || answer != text {
+			t.Errorf("of %d characters came %d (%v)", length, len([]rune(answer)), err)
+		}
+	}
+}
