--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -47,7 +47,8 @@
 	Journal  *journaler.Journal
 	Restored replicator.Restored
 	Core     replicator.Config
-	// SnapshotEvery is after how many entries a snapshot is taken; it keeps KeepEntries.
+	// SnapshotEvery is after how many entries at least a snapshot is taken; it
+	// keeps KeepEntries.
 	SnapshotEvery uint64
 	KeepEntries   uint64
 	// ReserveBytes is the room on the disk below which proposals are refused.
@@ -105,9 +106,13 @@
 	TaskFeed *watcher.Feed[reducer.Touch]
 
 	// What follows belongs to the loop.
-	pending       map[uint64]pending
-	snapshotting  bool
-	lastSnapshot  uint64
+	pending      map[uint64]pending
+	snapshotting bool
+	lastSnapshot uint64
+	// snapshotBytes is the length of the last snapshot, logBytes that of the
+	// entries applied since the state that it holds.
+	snapshotBytes int
+	logBytes      int
 	nextTend      time.Duration
 	nextDiskCheck time.Duration
 }
@@ -166,8 +171,10 @@
 		toSave:       make(chan reducer.State, 1),
 		pending:      map[uint64]pending{},
 		lastSnapshot: options.Restored.Snapshot.Index,
-		ViewFeed:     watcher.NewFeed[reducer.Touch](feedSize, state.Revision),
-		TaskFeed:     watcher.NewFeed[reducer.Touch](feedSize, state.Revision),
+
+		snapshotBytes: len(options.Restored.Snapshot.Data),
+		ViewFeed:      watcher.NewFeed[reducer.Touch](feedSize, state.Revision),
+		TaskFeed:      watcher.NewFeed[reducer.Touch](feedSize, state.Revision),
 	}
 	c.core = replicator.New(options.Core, options.Restored, c.Now())
 	c.identity.Store(&options.Identity)
@@ -336,6 +343,7 @@
 		}
 		c.state.Store(&state)
 		c.lastSnapshot = r.Snapshot.Index
+		c.snapshotBytes, c.logBytes = len(r.Snapshot.Data), 0
 		c.ViewFeed.Reset(state.Revision)
 		c.TaskFeed.Reset(state.Revision)
 	}
@@ -348,6 +356,7 @@
 }
 
 func (c *Coordinator) applyEntry(e replicator.Entry) error {
+	c.logBytes += len(e.Data)
 	before := c.State()
 	after := before
 	after.Revision = e.Index
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -213,13 +213,21 @@
 // startSnapshot hands the state to the encoder once enough was applied.
 func (c *Coordinator) startSnapshot() {
 	state := c.State()
-	if c.snapshotting || state.Revision < c.lastSnapshot+c.options.SnapshotEvery {
+	if c.snapshotting || !c.isSnapshotDue(state.Revision) {
 		return
 	}
 	c.snapshotting = true
+	c.logBytes = 0
 	c.toSave <- state
 }
 
+// isSnapshotDue reports whether the log since the last snapshot is long enough
+// in entries, and as long as that snapshot in bytes: so the cost of snapshots
+// stays in proportion to that of the log, however large the state is.
+func (c *Coordinator) isSnapshotDue(revision uint64) bool {
+	return revision >= c.lastSnapshot+c.options.SnapshotEvery && c.logBytes >= c.snapshotBytes
+}
+
 // encodeSnapshots is the duty that turns states into bytes, so that the loop
 // goes on meanwhile.
 func (c *Coordinator) encodeSnapshots(ctx context.Context) error {
@@ -242,7 +250,7 @@
 	if s.Index <= c.lastSnapshot {
 		return nil
 	}
-	c.lastSnapshot = s.Index
+	c.lastSnapshot, c.snapshotBytes = s.Index, len(s.Data)
 	whole := c.core.TakeSnapshot(s.Index, s.Data, c.options.KeepEntries)
 	c.options.Log.Info("snapshot taken", zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)))
 	return c.options.Journal.Compact(whole, c.core.Retained())
--- /dev/null
+++ b/internal/coordinator/snapshot_test.go
@@ -0,0 +1,30 @@
+package coordinator
+
+import "testing"
+
+func TestSnapshotsCostNoMoreThanTheLog(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		revision      uint64
+		snapshotBytes int
+		logBytes      int
+		want          bool
+	}{
+		"few entries":                         {revision: 199, logBytes: 5000},
+		"enough entries, and no snapshot yet": {revision: 200, logBytes: 5000, want: true},
+		"a log shorter than the snapshot":     {revision: 200, snapshotBytes: 5001, logBytes: 5000},
+		"a log as long as the snapshot":       {revision: 200, snapshotBytes: 5000, logBytes: 5000, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := &Coordinator{
+				options: Options{SnapshotEvery: 100}, lastSnapshot: 100,
+				snapshotBytes: tt.snapshotBytes, logBytes: tt.logBytes,
+			}
+			if got := c.isSnapshotDue(tt.revision); got != tt.want {
+				t.Errorf("due: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
