--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 bench:
 	@SAMPHIREWICK_BENCH=1 go test -count=1 -run 'Packing|Festival|WaysToGive|UrgentWorkUnder' -v ./internal/router ./internal/planner | grep -E 'measure|FAIL:' || true
-	@go test -run xxx -bench . -benchtime 1s ./internal/placer ./internal/planner ./internal/coordinator | grep Benchmark
+	@go test -run xxx -bench . -benchtime 1s ./internal/placer ./internal/planner ./internal/scheduler ./internal/coordinator | grep Benchmark
 
 capacity: build
 	@bin/samphirewick-standin capacity --page docs/CAPACITY.md
