--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -13,14 +13,12 @@
 	"net/http"
 	"time"
 
-	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/zap"
 
 	"github.com/samphirewick/samphirewick/internal/caller"
 	"github.com/samphirewick/samphirewick/internal/controller"
 	"github.com/samphirewick/samphirewick/internal/coordinator"
 	"github.com/samphirewick/samphirewick/internal/courier"
-	"github.com/samphirewick/samphirewick/internal/executor"
 	"github.com/samphirewick/samphirewick/internal/journaler"
 	"github.com/samphirewick/samphirewick/internal/loader"
 	"github.com/samphirewick/samphirewick/internal/logger"
@@ -44,19 +42,6 @@
 	megabyte     = 1 << 20
 )
 
-// runOptions are the options of run.
-type runOptions struct {
-	settings string
-}
-
-// newRunCmd runs the member until a signal comes.
-func newRunCmd(app *kingpin.Application) executor.Command {
-	options := runOptions{}
-	clause := app.Command("run", "Run the member.")
-	clause.Flag("settings", "The settings file.").Required().StringVar(&options.settings)
-	return executor.Command{Clause: clause, Run: func() error { return run(options) }}
-}
-
 // member holds the parts of a running member.
 type member struct {
 	settings loader.Control
@@ -75,8 +60,9 @@
 	meter       *meter.Meter
 }
 
-func run(options runOptions) error {
-	settings, err := loader.LoadControl(options.settings)
+// run runs the daemon until a signal comes.
+func run(path string) error {
+	settings, err := loader.LoadControl(path)
 	if err != nil {
 		return err
 	}
@@ -87,13 +73,13 @@
 	}
 	defer endLog()
 	if settings.IsGateway() {
-		g, err := newGateway(settings, options.settings, log)
+		g, err := newGateway(settings, path, log)
 		if err != nil {
 			return err
 		}
 		return g.serve(context.Background())
 	}
-	m := &member{settings: settings, path: options.settings, log: log}
+	m := &member{settings: settings, path: path, log: log}
 	m.reloader = reloader.New(m.path, m.reload, log)
 	if m.tls, err = transporter.FromSettings(settings.TLS, m.log); err != nil {
 		return err
--- a/cmd/samphirewick-entry/internal/commander/commander.go
+++ b/cmd/samphirewick-entry/internal/commander/commander.go
@@ -23,7 +23,7 @@
 // allCommands lists the commands.
 func allCommands(app *kingpin.Application, out io.Writer) []executor.Command {
 	return []executor.Command{
-		newRunCmd(app),
+		executor.NewRun(app, "Run the entry.", run),
 		executor.NewCheck(app, out, func(path string) error {
 			_, err := loader.LoadEntry(path)
 			return err
--- a/cmd/samphirewick-entry/internal/commander/run.go
+++ b/cmd/samphirewick-entry/internal/commander/run.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"github.com/alecthomas/kingpin/v2"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
@@ -17,7 +16,6 @@
 	"github.com/samphirewick/samphirewick/internal/authenticator"
 	"github.com/samphirewick/samphirewick/internal/caller"
 	"github.com/samphirewick/samphirewick/internal/dispatcher"
-	"github.com/samphirewick/samphirewick/internal/executor"
 	"github.com/samphirewick/samphirewick/internal/filterer"
 	"github.com/samphirewick/samphirewick/internal/forwarder"
 	"github.com/samphirewick/samphirewick/internal/loader"
@@ -44,19 +42,6 @@
 	shortID = 8
 )
 
-// runOptions are the options of run.
-type runOptions struct {
-	settings string
-}
-
-// newRunCmd runs the entry until a signal comes.
-func newRunCmd(app *kingpin.Application) executor.Command {
-	options := runOptions{}
-	clause := app.Command("run", "Run the entry.")
-	clause.Flag("settings", "The settings file.").Required().StringVar(&options.settings)
-	return executor.Command{Clause: clause, Run: func() error { return run(options) }}
-}
-
 // entry holds the parts of a running entry.
 type entry struct {
 	settings loader.Entry
@@ -79,13 +64,14 @@
 	adviser *platform.Adviser
 }
 
-func run(options runOptions) error {
-	settings, err := loader.LoadEntry(options.settings)
+// run runs the daemon until a signal comes.
+func run(path string) error {
+	settings, err := loader.LoadEntry(path)
 	if err != nil {
 		return err
 	}
 	runner.LimitMemory(settings.Limits.MemoryMegabytes)
-	e := &entry{settings: settings, path: options.settings}
+	e := &entry{settings: settings, path: path}
 	log, endLog, err := logger.New(settings.Log.Level, "entry", settings.Instance.Name)
 	if err != nil {
 		return err
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -86,3 +86,10 @@
 		return err
 	}}
 }
+
+// NewRun returns the command that runs a daemon by its settings file until it ends.
+func NewRun(app *kingpin.Application, help string, run func(path string) error) Command {
+	clause := app.Command("run", help)
+	settings := clause.Flag("settings", "The settings file.").Required().String()
+	return Command{clause, func() error { return run(*settings) }}
+}
