fix: steps that need no processors get permits while all processors are in use

Cause: permits are asked for at most twice the free processors, so that filling steps were never asked for on full workers, where their processors do not count. Found by reading; the test failed before.

--- a/internal/scheduler/asking.go
+++ b/internal/scheduler/asking.go
@@ -13,7 +13,7 @@
 func (p *plan) ask(ctx context.Context, r *ready, missing int, permits adviser.Permits) {
 	need := r.step.CountedNeed()
 	offered := p.pool(r.queue.Service)
-	if offered.unpledged <= 0 {
+	if need.Processors > 0 && offered.unpledged <= 0 {
 		return
 	}
 	offered.unpledged -= int64(missing) * need.Processors
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -309,6 +309,23 @@
 	})
 }
 
+func TestWorkThatNeedsNoProcessorsIsPermittedWhileAllAreInUse(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t)
+		d.permitted = []string{"w0"}
+		d.announce(1)
+		d.submit("plain", "busy", tasks(1, 8))
+		d.round("busy")
+		d.submit("guarded", "night", with(tasks(1, 4), func(s *modeler.StepSpec) { s.Fills = true }))
+		d.round("night")
+		synctest.Wait()
+		if got := d.round("night"); len(got) != 1 {
+			t.Errorf("started on %v after %d questions", got, d.asked)
+		}
+	})
+}
+
 func TestATicketThatEndedIsAskedForAgain(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
