fix: a newcomer is not taken for lost while the leader has led for long

Cause: the silence of a member that has never answered counted from the election. A newcomer without a vote that a leader of more than 20 s added was removed in the next look at the membership, asked to join again, and so on each 0.3 s. It shows only where there are more disks than votes. Ruled out: an election (one leader from 11.9 s on). Change: it counts from when the member was added.

--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -124,7 +124,7 @@
 		}
 		p, ok := c.peers[m.ID]
 		if !ok {
-			p = &progress{next: c.lastIndex() + 1, acked: neverAcked, probing: true}
+			p = &progress{next: c.lastIndex() + 1, acked: neverAcked, since: c.now, probing: true}
 		}
 		known[m.ID] = p
 	}
@@ -142,11 +142,11 @@
 }
 
 // Silence returns how long the leader has not heard of the member. One that has
-// never answered counts from the election.
+// never answered counts from the election, or from when it was added.
 func (c *Core) Silence(id string) time.Duration {
 	p, ok := c.peers[id]
 	if !ok {
 		return 0
 	}
-	return c.now - max(p.acked, c.elected)
+	return c.now - max(p.acked, p.since, c.elected)
 }
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -152,6 +152,8 @@
 	next uint64
 	// acked is the latest SentAt that the member has answered.
 	acked time.Duration
+	// since is when the member became known to this leader.
+	since time.Duration
 	// snapshotAt is when a snapshot was sent that has not been answered; zero for none.
 	snapshotAt time.Duration
 	// probing members get empty appends, one a heartbeat or answer, until next
