--- a/internal/filterer/filterer.go
+++ b/internal/filterer/filterer.go
@@ -46,6 +46,9 @@
 	Body    []byte
 	// Backend is the backend server that ran the request.
 	Backend string
+	// KeyChecked is true if control has answered for the request's idempotency key,
+	// so that the outcome covers every earlier request with that key too.
+	KeyChecked bool
 }
 
 // NotRun returns the answer to a request that was certainly not run.
@@ -83,6 +86,7 @@
 // Filters returns the filters in the order in which a request passes them.
 func Filters(d Dependencies) []Filter {
 	return []Filter{
+		{"key", keyFilter},
 		{"lease", leaseFilter(d)},
 		{"policy", policyFilter(d)},
 		{"department", newDepartments().serve},
@@ -103,6 +107,18 @@
 	return next
 }
 
+// keyFilter weakens the outcome notRun of a request that is not repeatable, unless
+// its idempotency key was checked: the request may be sent again after its first
+// answer was lost, and the first one may have run. The code and the reason of the
+// refusal stay, so that the caller knows when to send it again.
+func keyFilter(ctx context.Context, r Request, next Handler) Answer {
+	answer := next(ctx, r)
+	if !r.Repeatable && !answer.KeyChecked && answer.Outcome == modeler.OutcomeNotRun {
+		answer.Outcome = modeler.OutcomeUnknown
+	}
+	return answer
+}
+
 // leaseFilter refuses requests while the entry holds no lease from control,
 // because its configuration may then be outdated.
 func leaseFilter(d Dependencies) func(context.Context, Request, Handler) Answer {
--- a/internal/filterer/recorder.go
+++ b/internal/filterer/recorder.go
@@ -36,6 +36,7 @@
 		return answer
 	}
 	answer := next(ctx, r)
+	answer.KeyChecked = true
 	if answer.Outcome == modeler.OutcomeUnknown {
 		return answer
 	}
@@ -51,8 +52,9 @@
 	var refusal *modeler.RefusalError
 	switch {
 	case errors.As(err, &refusal):
-		// This attempt has sent nothing and sends nothing later.
-		return NotRun(refusal), false
+		answer := NotRun(refusal)
+		answer.KeyChecked = neverRanUnder[refusal.Code]
+		return answer, false
 	case err != nil:
 		return NotRun(modeler.Refuse(modeler.CodeUnavailable, "", "%v", err)), false
 	case recorded.New:
@@ -61,21 +63,34 @@
 	return firstAnswer(recorded.Earlier), false
 }
 
+// neverRanUnder holds the codes of refusals that prove that this request never ran
+// under its key: no request is accepted with an invalid key, and a key in conflict
+// belongs to another request. A stale key proves nothing, because its record may
+// have been removed.
+var neverRanUnder = map[modeler.RefusalCode]bool{
+	modeler.CodeInvalid:  true,
+	modeler.CodeConflict: true,
+}
+
 // firstAnswer answers a repeated request with the recorded outcome of the first one.
 func firstAnswer(first modeler.RequestRecord) Answer {
 	refusal := modeler.Refuse(modeler.CodeDuplicate, "idempotencyKey",
 		"the request was received before; its outcome: %s", first.Outcome)
-	return Answer{Outcome: first.Outcome, Refusal: refusal}
+	return Answer{Outcome: first.Outcome, Refusal: refusal, KeyChecked: true}
 }
 
 // settle commits the outcome before the caller gets the answer, so that a caller
-// that gets the outcome notRun may use the same key again. It returns the answer even if
-// the commit fails.
+// that gets the outcome notRun may use the same key again. It returns the answer even
+// if the commit fails, because the outcome is true either way. The reason of a
+// refusal then says that the request needs a new key.
 func (c recorder) settle(ctx context.Context, record modeler.RequestRecord, answer Answer) Answer {
 	settleCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
-	// The answer of a request that ran is valid whether or not its outcome was committed.
-	_ = c.deps.Settle(settleCtx, record.WithOutcome(answer.Outcome))
+	err := c.deps.Settle(settleCtx, record.WithOutcome(answer.Outcome))
+	if err != nil && answer.Outcome == modeler.OutcomeNotRun {
+		answer.Refusal = modeler.Refuse(answer.Refusal.Code, answer.Refusal.Field,
+			"%s; the outcome was not recorded (%v), so send the request with a new key", answer.Refusal.Reason, err)
+	}
 	return answer
 }
 
--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -11,6 +11,8 @@
 const (
 	folderMode fs.FileMode = 0o750
 	fileMode   fs.FileMode = 0o600
+	// temporaryPrefix begins the names of files that Replace has not renamed yet.
+	temporaryPrefix = "new-"
 )
 
 // Disk gives access to the files of one data folder by name. No field is nil.
@@ -125,7 +127,7 @@
 }
 
 func (f *folder) replace(name string, data []byte) error {
-	temporaryName := filepath.Join(f.path, "new-"+name)
+	temporaryName := filepath.Join(f.path, temporaryPrefix+name)
 	file, err := os.OpenFile(temporaryName, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return err
--- a/internal/journaler/identity.go
+++ b/internal/journaler/identity.go
@@ -52,7 +52,11 @@
 // from the same addresses, so that they need no communication before their first
 // election. It must not be used for a member that lost its data folder after the
 // cell was founded.
+// It returns an error with CodeIdentity if the folder is not empty.
 func FormatFounder(disk Disk, address string, founders []string) (Identity, error) {
+	if err := checkEmpty(disk); err != nil {
+		return Identity{}, err
+	}
 	sorted := slices.Clone(founders)
 	slices.Sort(sorted)
 	cell := uuid.NewSHA1(uuid.NameSpaceURL, []byte(strings.Join(sorted, " ")))
@@ -76,14 +80,8 @@
 // single founder of a new cell, or of a member that joins a cell later. It returns an
 // error with CodeIdentity if the folder is not empty.
 func Format(disk Disk, name, address string, founder bool) (Identity, error) {
-	names, err := disk.List()
-	if err != nil {
-		return Identity{}, diskError(err, "list", "")
-	}
-	for _, n := range names {
-		if n != "lock" {
-			return Identity{}, oops.Code(CodeIdentity).Errorf("the data folder is not empty: it holds %s", n)
-		}
+	if err := checkEmpty(disk); err != nil {
+		return Identity{}, err
 	}
 	const shortID = 8
 	i := Identity{
@@ -98,6 +96,21 @@
 	return i, WriteIdentity(disk, i)
 }
 
+// checkEmpty returns an error if the data folder holds any file but its lock. It
+// ignores temporary files: a crash while an identity is written leaves one.
+func checkEmpty(disk Disk) error {
+	names, err := disk.List()
+	if err != nil {
+		return diskError(err, "list", "")
+	}
+	for _, n := range names {
+		if n != "lock" && !strings.HasPrefix(n, temporaryPrefix) {
+			return oops.Code(CodeIdentity).Errorf("the data folder is not empty: it holds %s", n)
+		}
+	}
+	return nil
+}
+
 // WriteIdentity saves the identity to the disk.
 func WriteIdentity(disk Disk, i Identity) error {
 	data, err := json.Marshal(i)
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -237,8 +237,12 @@
 }
 
 // Compact writes a snapshot and a new log, which holds the hard state and
-// entries, those after the snapshot, and then removes the old files.
+// entries, those after the snapshot, and then removes the old files. After a failed
+// write it writes nothing, because the entries may not be those on disk.
 func (j *Journal) Compact(s replicator.Snapshot, entries []replicator.Entry) error {
+	if j.writeError != nil {
+		return j.writeError
+	}
 	hardState := j.hardState
 	frame, err := encodeFrame(s)
 	if err != nil {
@@ -263,13 +267,14 @@
 	return j.removeSuperseded(names, snapshotName)
 }
 
-// removeSuperseded removes the snapshots and logs that newer ones have replaced.
+// removeSuperseded removes the snapshots and logs that newer ones have replaced, and
+// the temporary files that a crash has left.
 func (j *Journal) removeSuperseded(names []string, snapshotName string) error {
 	for _, name := range names {
 		_, isSnapshot := parseName(name, snapshotPrefix)
 		_, isLog := parseName(name, logPrefix)
 		old := (isSnapshot && name != snapshotName) || (isLog && name != j.logFile)
-		if !old {
+		if !old && !strings.HasPrefix(name, temporaryPrefix) {
 			continue
 		}
 		if err := j.disk.Remove(name); err != nil {
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -213,6 +213,80 @@
 	}
 }
 
+// TestUnfinishedFileDoesNotKeepMemberFromStarting checks that a folder in which a
+// crash interrupted the first format can be formatted, and that the journal removes
+// unfinished files.
+func TestUnfinishedFileDoesNotKeepMemberFromStarting(t *testing.T) {
+	t.Parallel()
+	formats := map[string]func(journaler.Disk) (journaler.Identity, error){
+		"a joining member": func(d journaler.Disk) (journaler.Identity, error) {
+			return journaler.Format(d, "control-1", "10.0.0.1:1", false)
+		},
+		"a founder": func(d journaler.Disk) (journaler.Identity, error) {
+			return journaler.FormatFounder(d, "10.0.0.1:1", []string{"10.0.0.1:1"})
+		},
+	}
+	for name, format := range formats {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			disk := faker.NewDisk(1)
+			if err := disk.Open().Replace("new-identity.json", []byte("{")); err != nil {
+				t.Fatal(err)
+			}
+			identity, err := format(disk.Open())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, _, err := journaler.Open(disk.Open(), identity.InitialMembers()); err != nil {
+				t.Fatal(err)
+			}
+			open(t, disk)
+			if slices.Contains(disk.Names(), "new-identity.json") {
+				t.Errorf("the folder holds %v; the unfinished file is still there", disk.Names())
+			}
+		})
+	}
+}
+
+func TestFolderWithLogIsNotFormatted(t *testing.T) {
+	t.Parallel()
+	disk := faker.NewDisk(1)
+	open(t, disk)
+	if _, err := journaler.FormatFounder(disk.Open(), "10.0.0.1:1", []string{"10.0.0.1:1"}); codeOf(err) != journaler.CodeIdentity {
+		t.Errorf("got error %v, want code %s", err, journaler.CodeIdentity)
+	}
+}
+
+func TestNothingIsWrittenAfterFailedWrite(t *testing.T) {
+	t.Parallel()
+	disk := faker.NewDisk(1)
+	access := disk.Open()
+	failing := false
+	write := access.Append
+	access.Append = func(name string, data []byte) error {
+		if failing {
+			return errDisk
+		}
+		return write(name, data)
+	}
+	j, _, err := journaler.Open(access, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	save(t, j, 1, entries(1, 3, 1))
+	failing = true
+	if err := j.Save(replicator.Ready{Entries: entries(4, 4, 1)}); codeOf(err) != journaler.CodeDisk {
+		t.Fatalf("got error %v, want code %s", err, journaler.CodeDisk)
+	}
+	before := disk.Names()
+	if err := j.Compact(replicator.Snapshot{Index: 3, Term: 1}, entries(4, 4, 1)); codeOf(err) != journaler.CodeDisk {
+		t.Errorf("got error %v, want code %s", err, journaler.CodeDisk)
+	}
+	if after := disk.Names(); !slices.Equal(before, after) {
+		t.Errorf("the folder holds %v after a failed write and a compaction, want %v", after, before)
+	}
+}
+
 func TestEachFormatCreatesNewIdentity(t *testing.T) {
 	t.Parallel()
 	disk := faker.NewDisk(1)
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 
 	"go.uber.org/zap"
@@ -102,14 +103,15 @@
 		return nil, modeler.Refuse(modeler.CodeInvalid, "address", "missing")
 	}
 	isSame := func(m replicator.Member) bool { return m.ID == call.ID }
-	if slices.ContainsFunc(r.coordinator.MemberList(), isSame) {
-		return struct{}{}, nil
-	}
 	err := r.coordinator.ChangeMembers(ctx, func(members []replicator.Member) ([]replicator.Member, *modeler.RefusalError) {
 		if slices.ContainsFunc(members, isSame) {
 			return nil, modeler.Refuse(modeler.CodeDuplicate, "id", "%q is a member", call.ID)
 		}
 		return append(members, replicator.Member{ID: call.ID, Address: call.Address}), nil
 	})
+	var refusal *modeler.RefusalError
+	if errors.As(err, &refusal) && refusal.Code == modeler.CodeDuplicate {
+		return struct{}{}, nil
+	}
 	return struct{}{}, err
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,7 +1,7 @@
 // Package router sends a request to a backend server, either on a slot of this
 // entry or through another entry with more free slots. It reports the outcome
-// notRun only if nothing was sent or the receiver refused the request before
-// running it.
+// notRun only if no attempt can have run the request: each was either not sent, or
+// refused by its receiver before running it.
 package router
 
 import (
@@ -67,17 +67,23 @@
 	}
 	r.budget.deposit(request.Department, request.Service, request.Policy.RetryPercent)
 	var answer messenger.ForwardAnswer
+	mayHaveRun := false
 	for try := range maxAttempts {
 		call.Wait = time.Until(deadline)
 		if try > 0 && (call.Wait <= 0 || !r.budget.withdraw(request.Department, request.Service)) {
 			break
 		}
 		answer = r.attempt(ctx, call)
+		mayHaveRun = mayHaveRun || answer.Outcome == modeler.OutcomeUnknown
 		mayRepeat := request.Repeatable && answer.Outcome == modeler.OutcomeUnknown
 		if ctx.Err() != nil || (!answer.CanRetry && !mayRepeat) {
 			break
 		}
 	}
+	if mayHaveRun && answer.Outcome == modeler.OutcomeNotRun {
+		answer = unknown(call, modeler.Refuse(modeler.CodeUnknownOutcome, "",
+			"an earlier attempt may have run; the last one did not: %s", answer.Refusal.Reason))
+	}
 	return filterer.Answer{
 		Outcome: answer.Outcome,
 		Refusal: answer.Refusal,
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -123,13 +123,29 @@
 		wantOutcome modeler.Outcome
 		wantSent    int
 	}{
-		"ran":                         {fakeTransport{}, true, false, modeler.OutcomeRan, 1},
-		"the answer was lost":         {fakeTransport{sends: []error{lost}}, true, false, modeler.OutcomeUnknown, 1},
-		"lost, but repeatable":        {fakeTransport{sends: []error{lost, nil}}, true, true, modeler.OutcomeRan, 2},
-		"busy, then ran":              {fakeTransport{sends: []error{busy, nil}}, true, false, modeler.OutcomeRan, 2},
-		"busy, then lost":             {fakeTransport{sends: []error{busy, lost}}, true, false, modeler.OutcomeUnknown, 2},
-		"always unreachable":          {fakeTransport{sends: []error{notSent}}, true, false, modeler.OutcomeNotRun, 4},
-		"lost on every attempt":       {fakeTransport{sends: []error{lost}}, true, true, modeler.OutcomeUnknown, 4},
+		"ran":                   {fakeTransport{}, true, false, modeler.OutcomeRan, 1},
+		"the answer was lost":   {fakeTransport{sends: []error{lost}}, true, false, modeler.OutcomeUnknown, 1},
+		"lost, but repeatable":  {fakeTransport{sends: []error{lost, nil}}, true, true, modeler.OutcomeRan, 2},
+		"busy, then ran":        {fakeTransport{sends: []error{busy, nil}}, true, false, modeler.OutcomeRan, 2},
+		"busy, then lost":       {fakeTransport{sends: []error{busy, lost}}, true, false, modeler.OutcomeUnknown, 2},
+		"always unreachable":    {fakeTransport{sends: []error{notSent}}, true, false, modeler.OutcomeNotRun, 4},
+		"lost on every attempt": {fakeTransport{sends: []error{lost}}, true, true, modeler.OutcomeUnknown, 4},
+		"lost, then unreachable": {
+			fakeTransport{sends: []error{lost, notSent}}, true, true, modeler.OutcomeUnknown, 4,
+		},
+		"lost, then busy": {fakeTransport{sends: []error{lost, busy}}, true, true, modeler.OutcomeUnknown, 4},
+		"unreachable, then lost, then unreachable": {
+			fakeTransport{sends: []error{notSent, lost, notSent}}, true, true, modeler.OutcomeUnknown, 4,
+		},
+		"lost, then unreachable, then ran": {
+			fakeTransport{sends: []error{lost, notSent, nil}}, true, true, modeler.OutcomeRan, 3,
+		},
+		"forwarded, connection broke, then never connected": {
+			fakeTransport{forwards: []error{broken, neverConnected}}, false, true, modeler.OutcomeUnknown, 4,
+		},
+		"forwarded, connection broke, then refused as full": {
+			fakeTransport{forwards: []error{broken, full}}, false, true, modeler.OutcomeUnknown, 4,
+		},
 		"forwarded, ran":              {fakeTransport{forwarded: ran}, false, false, modeler.OutcomeRan, 1},
 		"forwarded, connection broke": {fakeTransport{forwards: []error{broken}}, false, false, modeler.OutcomeUnknown, 1},
 		"forwarded, never connected":  {fakeTransport{forwards: []error{neverConnected}}, false, false, modeler.OutcomeNotRun, 4},
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -205,6 +206,10 @@
 	for _, load := range answer.Loads {
 		t.loads[load.Entry] = loadsByService(load.Loads)
 	}
+	maps.DeleteFunc(t.loads, func(entry string, _ map[string]messenger.Load) bool {
+		_, ok := table.Entries[entry]
+		return !ok
+	})
 	t.mutex.Unlock()
 	if table.Revision != previousRevision || call.Since == 0 {
 		t.options.OnChange(table)
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -72,6 +72,26 @@
 	})
 }
 
+func TestLoadsOfEntryThatLeftAreDropped(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		first, second := fullAnswer(1, 1), messenger.WatchAnswer{Cell: "cell", Lease: 2 * time.Second}
+		first.View.Entries = []modeler.Entry{{ID: "e0"}, {ID: "e2"}}
+		first.Loads = []messenger.EntryLoad{{Entry: "e2", Loads: []messenger.Load{{Service: "toll-desk", Free: 4}}}}
+		second.View = viewer.View{Revision: 2, RemovedEntries: []string{"e2"}}
+		tr, stop := runTracker(t, 100*time.Millisecond, first, second)
+		defer stop()
+		time.Sleep(150 * time.Millisecond)
+		if got := tr.Headroom("e2", "toll-desk"); got != 4 {
+			t.Errorf("headroom of the entry is %d, want 4", got)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if got := tr.Headroom("e2", "toll-desk"); got != 0 {
+			t.Errorf("headroom of the entry that left is %d, want 0", got)
+		}
+	})
+}
+
 func TestOlderViewIsRejected(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
