feat: ends of many workers share commands; a workflow whose starts were refused waits

Change: while one command with ends is being committed, the next one is gathered. A workflow of which every start was refused counts as waiting again.

--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -230,6 +230,9 @@
 	// submission arrived, and holds one run without tasks once the workflow has ended
 	// and no task holds resources.
 	Runs []StepRun `json:"runs"`
+	// Begun is true once an attempt has ended that surely ran. Before, a workflow is
+	// running only while a task may run.
+	Begun bool `json:"begun,omitempty"`
 	// Ended is the time at which the workflow reached a final phase; zero before.
 	Ended time.Time `json:"ended,omitzero"`
 }
--- a/internal/reducer/workflows.go
+++ b/internal/reducer/workflows.go
@@ -230,6 +230,7 @@
 	}
 	run, failed := t.applyAttemptEnd(w.Spec, run.WithTask(name.Index, task), e)
 	w = w.WithRun(position, run)
+	w.Begun = w.Begun || e.Outcome != AttemptRefused
 	switch {
 	case w.IsEnded():
 		t.setWorkflow(w)
@@ -237,6 +238,9 @@
 		t.endWorkflow(w, modeler.WorkflowFailed)
 	case w.HasFinished():
 		t.setWorkflow(w.WithPhase(modeler.WorkflowFinished, t.at))
+	case !w.Begun && !w.HoldsResources():
+		// No task has started, although starts were committed.
+		t.setWorkflow(w.WithPhase(modeler.WorkflowWaiting, t.at))
 	default:
 		t.setWorkflow(w)
 	}
--- a/internal/reducer/workflows_test.go
+++ b/internal/reducer/workflows_test.go
@@ -113,6 +113,33 @@
 	}
 }
 
+// TestWorkflowWaitsUntilATaskHasStarted checks that a workflow counts as waiting while
+// every start was refused, and never again once a task has run.
+func TestWorkflowWaitsUntilATaskHasStarted(t *testing.T) {
+	t.Parallel()
+	f := newWorkflowFixture(t)
+	worker := f.announce("w0", 1)
+	f.submit("a", step(2, 4))
+	steps := []struct {
+		act  func()
+		want modeler.WorkflowPhase
+	}{
+		{func() { f.start(worker, task("a", 0), task("a", 1)) }, modeler.WorkflowRunning},
+		{func() { f.end(worker, task("a", 0), 1, AttemptRefused) }, modeler.WorkflowRunning},
+		{func() { f.end(worker, task("a", 1), 1, AttemptRefused) }, modeler.WorkflowWaiting},
+		{func() { f.start(worker, task("a", 0)) }, modeler.WorkflowRunning},
+		{func() { f.end(worker, task("a", 0), 2, AttemptLapsed) }, modeler.WorkflowRunning},
+		{func() { f.start(worker, task("a", 0)) }, modeler.WorkflowRunning},
+		{func() { f.end(worker, task("a", 0), 3, AttemptRefused) }, modeler.WorkflowRunning},
+	}
+	for i, s := range steps {
+		s.act()
+		if f.phase() != s.want {
+			t.Errorf("phase is %s after change %d, want %s", f.phase(), i, s.want)
+		}
+	}
+}
+
 // TestEndedWorkflowKeepsItsPhaseOnly checks that an ended workflow takes no more room
 // than callers need, and still answers every command as one that was submitted.
 func TestEndedWorkflowKeepsItsPhaseOnly(t *testing.T) {
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -185,22 +185,12 @@
 // has answered.
 func (l *link) endSession(ctx context.Context, cause error) {
 	l.log().Info("session ended", zap.String("session", l.session.Key()), zap.Error(cause))
-	err := l.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, Names: []string{l.session.Key()}})
+	err := l.supervisor.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, Names: []string{l.session.Key()}})
 	if err != nil {
 		waitToRetry(ctx)
 	}
 }
 
-func (l *link) propose(ctx context.Context, c reducer.Command) error {
-	bounded, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	_, err := l.supervisor.options.Propose(bounded, c)
-	if err != nil && ctx.Err() == nil {
-		l.log().Warn("proposal failed", zap.String("kind", string(c.Kind)), zap.String("session", l.session.Key()), zap.Error(err))
-	}
-	return err
-}
-
 // handleNoAnswer marks the link as unresponsive. Once every lease on the worker
 // has surely expired, it commits the end of the attempts that the worker holds.
 func (l *link) handleNoAnswer(ctx context.Context, cause error) {
@@ -228,7 +218,7 @@
 			Checkpoint: l.checkpointOf(name, task.Attempt),
 		})
 	}
-	_ = l.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Ends: ends})
+	_ = l.supervisor.ends.commit(ctx, ends)
 }
 
 // haveLeasesExpired reports whether every lease on the worker has surely expired.
@@ -318,10 +308,7 @@
 	l.log().Info("attempt not run", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
 		zap.String("session", a.Session), zap.String("reason", reason))
 	l.setPhase(a, orderFenced)
-	_ = l.propose(ctx, reducer.Command{
-		Kind: reducer.KindEndAttempts,
-		Ends: []reducer.AttemptEnd{{Attempt: a, Outcome: reducer.AttemptRefused}},
-	})
+	_ = l.supervisor.ends.commit(ctx, []reducer.AttemptEnd{{Attempt: a, Outcome: reducer.AttemptRefused}})
 }
 
 // requestStop sends a stop in the background, unless one was sent within
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -177,7 +177,7 @@
 		return
 	}
 	finish := l.supervisor.pending.beginCommit(ends)
-	err := l.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Ends: ends})
+	err := l.supervisor.ends.commit(ctx, ends)
 	finish()
 	if err != nil {
 		waitToRetry(ctx)
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -162,6 +162,7 @@
 	added chan *link
 	// pending tracks the ends that workers have listed and that are being committed.
 	pending *pendingEnds
+	ends    *endBatcher
 }
 
 // pendingWait bounds how long a reader waits for ends that are being committed. A
@@ -177,6 +178,7 @@
 	s := &Supervisor{
 		options: options, links: map[string]*link{}, added: make(chan *link, addedCapacity), pending: newPendingEnds(),
 	}
+	s.ends = newEndBatcher(s.propose)
 	state := options.State()
 	for _, session := range reducer.Values(state.Sessions) {
 		s.add(session, session.Tasks)
@@ -184,9 +186,21 @@
 	return s
 }
 
+// propose commits a command within proposeTimeout.
+func (s *Supervisor) propose(ctx context.Context, c reducer.Command) error {
+	bounded, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, err := s.options.Propose(bounded, c)
+	if err != nil && ctx.Err() == nil {
+		s.options.Log.Warn("proposal failed", zap.String("kind", string(c.Kind)), zap.Int("ends", len(c.Ends)), zap.Error(err))
+	}
+	return err
+}
+
 // Run supervises the sessions until the context ends.
 func (s *Supervisor) Run(ctx context.Context) error {
 	group := runner.NewGroup()
+	group.Go(ctx, s.ends.run)
 	for {
 		select {
 		case <-ctx.Done():
