--- a/internal/reducer/workflows.go
+++ b/internal/reducer/workflows.go
@@ -231,20 +231,31 @@
 	run, failed := t.applyAttemptEnd(w.Spec, run.WithTask(name.Index, task), e)
 	w = w.WithRun(position, run)
 	w.Begun = w.Begun || e.Outcome != AttemptRefused
+	if failed && !w.IsEnded() {
+		t.endWorkflow(w, modeler.WorkflowFailed)
+		return true
+	}
+	if phase := phaseAfterEnd(w); phase != w.Phase {
+		w = w.WithPhase(phase, t.at)
+	}
+	t.setWorkflow(w)
+	return true
+}
+
+// phaseAfterEnd returns the phase of a workflow after an attempt has ended that does
+// not make it fail.
+func phaseAfterEnd(w modeler.Workflow) modeler.WorkflowPhase {
 	switch {
 	case w.IsEnded():
-		t.setWorkflow(w)
-	case failed:
-		t.endWorkflow(w, modeler.WorkflowFailed)
+		return w.Phase
 	case w.HasFinished():
-		t.setWorkflow(w.WithPhase(modeler.WorkflowFinished, t.at))
+		return modeler.WorkflowFinished
 	case !w.Begun && !w.HoldsResources():
 		// No task has started, although starts were committed.
-		t.setWorkflow(w.WithPhase(modeler.WorkflowWaiting, t.at))
+		return modeler.WorkflowWaiting
 	default:
-		t.setWorkflow(w)
+		return w.Phase
 	}
-	return true
 }
 
 func appendFailedOn(failedOn []string, worker string) []string {
--- a/internal/scheduler/replay_test.go
+++ b/internal/scheduler/replay_test.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,9 +106,10 @@
 	return r
 }
 
+// class returns the class of a workflow, whose id begins with the name of its queue.
 func (r *replay) class(workflow string) loadClass {
-	w, _ := r.state.Workflows.Get(workflow)
-	return r.classes[slices.IndexFunc(r.classes, func(c loadClass) bool { return c.queue.Name == w.Spec.Queue })]
+	queue, _, _ := strings.Cut(workflow, "-")
+	return r.classes[slices.IndexFunc(r.classes, func(c loadClass) bool { return c.queue.Name == queue })]
 }
 
 // decide answers as the policy service does: whether a worker is permitted depends on
