fix: a gang that gathers asks about free workers too

Change: while it gathers it asks about undecided workers with capacity now, if they could have enough for the rest. Each worker is asked about once, so that this ends. Constants of the adviser have names.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -22,13 +22,17 @@
 	// maxCallsPerEntry is the maximum number of calls in flight at one entry,
 	// including the one that the policy service is working on.
 	maxCallsPerEntry = 3
-	// longCall is the expected time from which on a call counts as long. A shorter
-	// one is as a rule for work that cannot wait for long calls before it.
+	// longCall is the expected time from which on a call counts as long. Most shorter
+	// calls are for urgent work, which cannot wait for a long call before it.
 	longCall = 300 * time.Millisecond
 	// longCallShare is the share of the entries that take long calls. It applies from
 	// minEntriesToShare entries on.
 	longCallShare     = 0.6
 	minEntriesToShare = 5
+	// maxLongCallsPerEntry and maxUrgentLongCallsPerEntry are the maximum numbers of
+	// calls in flight at an entry that takes one more long call, that one included.
+	maxLongCallsPerEntry       = 1
+	maxUrgentLongCallsPerEntry = 2
 	// responseGrace is how long after its expected time an answer may still arrive.
 	responseGrace = 1500 * time.Millisecond
 	// entryBackoff is how long an entry gets no calls after a failed one.
@@ -300,9 +304,9 @@
 	now, limit := a.options.Now(), maxCallsPerEntry
 	if class != CallShort && len(addresses) >= minEntriesToShare {
 		addresses = slices.Sorted(slices.Values(addresses))[:int(longCallShare*float64(len(addresses)))]
-		limit = 1
+		limit = maxLongCallsPerEntry
 		if class == CallLongUrgent {
-			limit = 2
+			limit = maxUrgentLongCallsPerEntry
 		}
 	}
 	best, found := "", false
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -10,8 +10,9 @@
 // that waits while all workers are full requests permits for the capacity that will
 // be free by the time at which it has them.
 //
-// A gang first finds out which workers it may run on, then waits without further
-// requests until it has gathered enough capacity there, and then renews its tickets.
+// A gang first finds out which workers it may run on, then waits until it has gathered
+// enough capacity there, and then renews its tickets. While it waits it asks only about
+// workers that have the capacity now.
 package claimer
 
 import (
@@ -30,9 +31,6 @@
 	// starts only if all its tasks fit; the rest of any other step is requested next.
 	gangConfidence = 1.0
 	stepConfidence = 0.5
-	// gangChoice is the number of permitted workers for each task from which a gang
-	// gathers its capacity.
-	gangChoice = 1.0
 	// renewShare is the share of its tasks for which a gang has gathered capacity when
 	// it renews its tickets. The rest is gathered while the service decides.
 	renewShare = 0.6
@@ -222,20 +220,22 @@
 }
 
 // ChooseForGang returns the claim of a request for a gang, or false if no request
-// should be made now. It does not add the claim to the ledger.
+// should be made now: the gang knows a permitted worker for each of its tasks and other
+// workers have too little free capacity, or all its tickets are valid. It does not add
+// the claim to the ledger.
 func (l *Ledger) ChooseForGang(d Demand, g Gathered) (Claim, bool) {
 	if g.Slots+g.Partial >= d.Tasks && float64(g.Slots) >= renewShare*float64(d.Tasks) {
 		// The capacity is kept for the gang already, so that the claim is empty.
 		expired := g.Expired[:min(len(g.Expired), d.MaxSessions)]
 		return Claim{Sessions: expired, Need: d.Need, Renews: true}, len(expired) > 0
 	}
-	wanted := int(gangChoice * float64(d.Tasks))
-	if g.Workers >= wanted {
-		return Claim{}, false
-	}
+	// Workers that the gang may run on may stay full for long. Once it knows enough of
+	// them, it asks about free ones only.
+	knowsEnough := g.Workers >= d.Tasks
 	c := Claim{Need: d.Need}
 	var e estimate
 	e.mean = float64(g.Slots)
+	possible := g.Slots
 	l.sort()
 	for _, w := range l.workers {
 		if len(c.Sessions) >= d.MaxSessions || e.suffices(d.Tasks, gangConfidence) {
@@ -244,10 +244,18 @@
 		if !d.IsUndecided(w.Key) || !d.Need.FitsIn(w.Free.Plus(w.Used)) {
 			continue
 		}
+		slots := d.slots(w.room(0))
+		if slots == 0 && knowsEnough {
+			continue
+		}
 		// A worker that is full will be emptied for the gang if it is permitted.
-		e.add(max(1, d.slots(w.room(0))), d.GrantRate)
+		e.add(max(1, slots), d.GrantRate)
+		possible += slots
 		c.Sessions = append(c.Sessions, w.Key)
 	}
+	if knowsEnough && possible < d.Tasks {
+		return Claim{}, false
+	}
 	c.Tasks = min(e.mean, float64(d.Tasks))
 	return c, len(c.Sessions) > 0
 }
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -298,6 +298,35 @@
 	})
 }
 
+// TestGangDoesNotWaitForWorkerThatStaysFull replays a gang that may run on a worker
+// with a long task, while another worker that it may run on as well is free.
+func TestGangDoesNotWaitForWorkerThatStaysFull(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.permitted = []string{"w0", "w1", "w2"}
+		f.announce(1)
+		f.submit("plain", "long", stepOf(1, 8))
+		f.round("long")
+		f.announce(2)
+		f.submit("guarded", "gang", with(stepOf(2, 8), func(s *modeler.StepSpec) { s.Gang = true }))
+		f.round("gang")
+		synctest.Wait()
+		if got := f.round("gang"); len(got) != 0 {
+			t.Fatalf("gang started on %v, although one of its two workers is full", got)
+		}
+		f.announce(3)
+		for range 20 {
+			f.round("gang")
+			synctest.Wait()
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got := f.round("gang"); !slices.Equal(got, []string{"w1@1", "w2@1"}) {
+			t.Errorf("gang started on %v, want w1@1 and w2@1", got)
+		}
+	})
+}
+
 func TestPermitRequestsAreLimitedByFreeCapacity(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
