--- a/internal/responder/sessions_test.go
+++ b/internal/responder/sessions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -33,3 +34,53 @@
 		}
 	})
 }
+
+// TestFollowerConfirmsHeartbeatWithoutChanges checks that a call with a heartbeat is
+// carried out by a follower if it announces nothing new, and refused there otherwise.
+func TestFollowerConfirmsHeartbeatWithoutChanges(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		c.awaitLeader()
+		session := modeler.Session{Worker: "w", StartedAtMillis: 7, Address: "w:1", Service: "planner"}
+		c.mustCall(messenger.MethodAnnounceSession, messenger.AnnounceSessionCall{Session: session}, nil)
+		time.Sleep(time.Second)
+		draining := session
+		draining.Draining = true
+		leader := c.leader()
+		for _, m := range c.members {
+			if m == leader {
+				continue
+			}
+			call := messenger.AnnounceSessionCall{Session: session}
+			if err := c.callMember(m, "gateway", messenger.MethodAnnounceSession, call, nil); err != nil {
+				t.Errorf("%s refused a heartbeat without changes: %v", m.id, err)
+			}
+			call.Session = draining
+			var refusal *modeler.RefusalError
+			err := c.callMember(m, "gateway", messenger.MethodAnnounceSession, call, nil)
+			if !errors.As(err, &refusal) || refusal.Code != modeler.CodeNotLeader {
+				t.Errorf("%s answered a heartbeat of a worker that drains with %v, want a refusal as it does not lead", m.id, err)
+			}
+		}
+	})
+}
+
+// TestMemberMayAskToJoinTwiceAtOnce checks that neither call is refused: a member
+// repeats its call while the answer to the first one is on its way.
+func TestMemberMayAskToJoinTwiceAtOnce(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		c.awaitLeader()
+		// The new member does not run in this cell.
+		c.isolate("m3")
+		results := make(chan error, 2)
+		for range 2 {
+			go func() {
+				results <- c.call("new member", messenger.MethodJoin, messenger.JoinCall{ID: "m3", Address: "m3"}, nil)
+			}()
+		}
+		for range 2 {
+			if err := <-results; err != nil {
+				t.Errorf("a call to join was refused: %v", err)
+			}
+		}
+	})
+}
