--- a/internal/controller/loadreport.go
+++ b/internal/controller/loadreport.go
@@ -29,7 +29,8 @@
 	// the processor.
 	planTime, commitTime time.Duration
 	polls, lostPolls     int
-	calls                int
+	// calls are counted by method. It is nil while there are none.
+	calls map[string]int
 }
 
 func (l *leaderLoad) addRound(r scheduler.RoundStats) {
@@ -51,10 +52,13 @@
 	}
 }
 
-func (l *leaderLoad) addCall() {
+func (l *leaderLoad) addCall(method string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.sum.calls++
+	if l.sum.calls == nil {
+		l.sum.calls = map[string]int{}
+	}
+	l.sum.calls[method]++
 }
 
 // take returns the totals since the last call, and starts anew.
@@ -67,7 +71,7 @@
 }
 
 // CountCall counts a call of another process that this leader handles.
-func (l *LeaderState) CountCall() { l.load.addCall() }
+func (l *LeaderState) CountCall(method string) { l.load.addCall(method) }
 
 // reportLoad logs what the leader has done since the last report, and how late its
 // event loop was.
@@ -79,5 +83,5 @@
 	}
 	l.log.Info("leader load", zap.Int("rounds", sum.rounds), zap.Duration("planTime", sum.planTime),
 		zap.Duration("commitTime", sum.commitTime), zap.Int("waitingSteps", sum.waitingSteps), zap.Int("starts", sum.starts),
-		zap.Int("polls", sum.polls), zap.Int("lostPolls", sum.lostPolls), zap.Int("calls", sum.calls), zap.Duration("loopDelay", delay))
+		zap.Int("polls", sum.polls), zap.Int("lostPolls", sum.lostPolls), zap.Any("calls", sum.calls), zap.Duration("loopDelay", delay))
 }
--- a/internal/controller/loadreport_test.go
+++ b/internal/controller/loadreport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"reflect"
 	"testing"
 	"time"
 
@@ -15,15 +16,15 @@
 	l.addRound(scheduler.RoundStats{PlanTime: 2 * time.Millisecond, WaitingSteps: 4})
 	l.addPoll(nil)
 	l.addPoll(errors.New("no answer"))
-	l.addCall()
+	l.addCall("getWorkflow")
 	want := loadSum{
 		rounds: 2, starts: 3, waitingSteps: 4, planTime: 3 * time.Millisecond, commitTime: 2 * time.Millisecond,
-		polls: 2, lostPolls: 1, calls: 1,
+		polls: 2, lostPolls: 1, calls: map[string]int{"getWorkflow": 1},
 	}
-	if got := l.take(); got != want {
+	if got := l.take(); !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	if got, want := l.take(), (loadSum{waitingSteps: 4}); got != want {
+	if got, want := l.take(), (loadSum{waitingSteps: 4}); !reflect.DeepEqual(got, want) {
 		t.Errorf("the second report holds %+v, want %+v", got, want)
 	}
 }
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -89,6 +89,9 @@
 	if !ok {
 		return nil, modeler.Refuse(modeler.CodeNotFound, "method", "%q is not known", name)
 	}
+	if leader := r.manager.LeaderState(); leader != nil {
+		leader.CountCall(name)
+	}
 	return m(ctx, params)
 }
 
@@ -104,7 +107,6 @@
 		if leader == nil {
 			return nil, r.notLeader()
 		}
-		leader.CountCall()
 		answer, err := handle(r, ctx, leader, params)
 		var refusal *modeler.RefusalError
 		if errors.As(err, &refusal) && !dependsOnState(refusal.Code) {
