fix: a gang with capacity for most of its tasks asks about free workers for the rest

Cause: once three fifths of its capacity were gathered, and workers were kept for the others, ChooseForGang only renewed tickets. It waited for long tasks on the workers that it keeps, whatever is free elsewhere. Change: the renewal names free workers as well, if they have capacity for the rest; each worker is asked about once, so that this ends. TestGangDoesNotRenewTicketsForeverForWorkerThatStaysFull fails before. One case of TestRequestOfGang wanted a renewal only while 30 workers are free, which is this fault: it now has full workers, and four cases more say when free ones are named.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -11,8 +11,8 @@
 // be free by the time at which it has them.
 //
 // A gang first finds out which workers it may run on, then waits until it has gathered
-// enough capacity there, and then renews its tickets. While it waits it asks only about
-// workers that have the capacity now.
+// enough capacity there, and then renews its tickets. All the while it asks about other
+// workers too, but only about those that have the capacity now.
 package claimer
 
 import (
@@ -47,6 +47,7 @@
 	Tasks float64
 	Need  modeler.Resources
 	// Renews is true if the request renews the tickets of a gang that is about to start.
+	// It may name other workers too, for tasks that wait for capacity.
 	Renews bool
 }
 
@@ -220,19 +221,20 @@
 }
 
 // ChooseForGang returns the claim of a request for a gang, or false if no request
-// should be made now: the gang knows a permitted worker for each of its tasks and other
-// workers have too little free capacity, or all its tickets are valid. It does not add
-// the claim to the ledger.
+// should be made now: the gang knows a permitted worker for each of its tasks, other
+// workers have too little free capacity, and it has no tickets to renew. It does not
+// add the claim to the ledger.
 func (l *Ledger) ChooseForGang(d Demand, g Gathered) (Claim, bool) {
-	if g.Slots+g.Partial >= d.Tasks && float64(g.Slots) >= renewShare*float64(d.Tasks) {
-		// The capacity is kept for the gang already, so that the claim is empty.
-		expired := g.Expired[:min(len(g.Expired), d.MaxSessions)]
-		return Claim{Sessions: expired, Need: d.Need, Renews: true}, len(expired) > 0
+	c := Claim{Need: d.Need}
+	c.Renews = g.Slots+g.Partial >= d.Tasks && float64(g.Slots) >= renewShare*float64(d.Tasks)
+	if c.Renews {
+		// The capacity is kept for the gang already, so that these claim nothing.
+		c.Sessions = slices.Clone(g.Expired[:min(len(g.Expired), d.MaxSessions)])
 	}
+	renewed := len(c.Sessions)
 	// Workers that the gang may run on may stay full for long. Once it knows enough of
 	// them, it asks about free ones only.
-	knowsEnough := g.Workers >= d.Tasks
-	c := Claim{Need: d.Need}
+	knowsEnough := c.Renews || g.Workers >= d.Tasks
 	var e estimate
 	e.mean = float64(g.Slots)
 	possible := g.Slots
@@ -254,9 +256,15 @@
 		c.Sessions = append(c.Sessions, w.Key)
 	}
 	if knowsEnough && possible < d.Tasks {
-		return Claim{}, false
+		c.Sessions = c.Sessions[:renewed]
+	}
+	switch {
+	case len(c.Sessions) == renewed:
+	case c.Renews:
+		c.Tasks = min(e.mean, float64(d.Tasks)) - float64(g.Slots)
+	default:
+		c.Tasks = min(e.mean, float64(d.Tasks))
 	}
-	c.Tasks = min(e.mean, float64(d.Tasks))
 	return c, len(c.Sessions) > 0
 }
 
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -135,9 +135,25 @@
 			workers: workersOf(same(32, 30)...), wantCount: 11, gathered: claimer.Gathered{Slots: 3, Workers: 8},
 		},
 		"renews its tickets once most of its capacity is gathered": {
-			workers: workersOf(same(32, 30)...), wantCount: 2, wantSessions: []string{"w01", "w02"},
+			workers: workersOf(same(4, 30)...), wantCount: 2, wantSessions: []string{"w01", "w02"},
 			gathered: claimer.Gathered{Slots: 7, Partial: 1, Workers: 8, Expired: []string{"w01", "w02"}},
 		},
+		"renews only, if others have too little for the rest of its tasks": {
+			workers: append(workersOf(8), workersOf(same(4, 30)...)...), wantCount: 2, wantSessions: []string{"w01", "w02"},
+			gathered: claimer.Gathered{Slots: 6, Partial: 2, Workers: 8, Expired: []string{"w01", "w02"}},
+		},
+		"renews, and names free workers for tasks that wait for capacity": {
+			workers: workersOf(same(32, 30)...), wantCount: 7,
+			gathered: claimer.Gathered{Slots: 7, Partial: 1, Workers: 8, Expired: []string{"x01", "x02"}},
+		},
+		"names free workers for tasks that wait for capacity while its tickets are valid": {
+			workers: workersOf(same(32, 30)...), wantCount: 5,
+			gathered: claimer.Gathered{Slots: 7, Partial: 1, Workers: 8},
+		},
+		"renews once all of its capacity is gathered": {
+			workers: workersOf(same(32, 30)...), wantCount: 2, wantSessions: []string{"w01", "w02"},
+			gathered: claimer.Gathered{Slots: 8, Workers: 8, Expired: []string{"w01", "w02"}},
+		},
 		"names more workers if those that it may run on are too few": {
 			workers: workersOf(same(32, 30)...), wantCount: 5,
 			gathered: claimer.Gathered{Slots: 7, Workers: 2, Expired: []string{"w01", "w02"}},
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -328,6 +328,39 @@
 	})
 }
 
+// TestGangDoesNotRenewTicketsForeverForWorkerThatStaysFull replays a gang with capacity
+// for all of its tasks but one, which waits on a worker with a long task, while a
+// worker that it has not asked about is free.
+func TestGangDoesNotRenewTicketsForeverForWorkerThatStaysFull(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.permitted = []string{"w0", "w1", "w2", "w3"}
+		f.announce(1)
+		f.submit("plain", "long", stepOf(1, 8))
+		f.round("long")
+		f.announce(3)
+		f.submit("guarded", "gang", with(stepOf(3, 8), func(s *modeler.StepSpec) { s.Gang = true }))
+		for range 20 {
+			f.round("gang")
+			synctest.Wait()
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got := f.round("gang"); len(got) != 0 {
+			t.Fatalf("gang started on %v, although one of its three workers is full", got)
+		}
+		f.announce(4)
+		for range 20 {
+			f.round("gang")
+			synctest.Wait()
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got := f.round("gang"); !slices.Equal(got, []string{"w1@1", "w2@1", "w3@1"}) {
+			t.Errorf("gang started on %v, want w1@1, w2@1 and w3@1", got)
+		}
+	})
+}
+
 func TestPermitRequestsAreLimitedByFreeCapacity(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
