fix: callers that ask for the states of late work overload the leader

Cause: every read of a job's state and of a queue's length went to the leader. They take the processor from commits: 3 scheduling rounds a second instead of 8 to 30, tickets expire before they are used, more jobs wait. Plans, lost polls and changes of the leader are ruled out by the lines 'leader load'. Change: a follower that has been in touch with the leader within a second answers reads by its own state. It leaves to the leader what it does not know, and an entry says by which version of the queue table it has answered before, so that no older one is seen after it. A follower that gives no answer is not called for 2 s. TestCallersReadingStatesDoNotLoadTheLeader fails before.

--- a/cmd/samphirewick-entry/internal/commander/platform.go
+++ b/cmd/samphirewick-entry/internal/commander/platform.go
@@ -13,7 +13,7 @@
 // servePlatform serves the platform's callers until the context ends. The context
 // ends only after the load balancer had time to notice that the entry is draining.
 func (e *entry) servePlatform(ctx context.Context) error {
-	server := platform.NewFront(e.control.Call, e.drainer.isDraining, e.log)
+	server := platform.NewFront(e.control.Call, e.control.CallFollower, e.drainer.isDraining, e.log)
 	return platform.Serve(ctx, e.settings.Platform.Front, server, e.settings.Instance.DrainTimeout)
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -22,8 +23,11 @@
 	// leaderCheckDelay is how long an attempt waits for its answer before it searches
 	// for another leader. A commit takes about a tenth of it.
 	leaderCheckDelay = 150 * time.Millisecond
-	// followerTimeout bounds a call to a follower, which answers from memory.
-	followerTimeout = 200 * time.Millisecond
+	// followerTimeout bounds a call to a follower, which answers from memory, or waits
+	// for a short time for a change.
+	followerTimeout = 350 * time.Millisecond
+	// avoidFollower is how long a follower that gave no answer is not called.
+	avoidFollower = 2 * time.Second
 	// initialBackoff and maxBackoff limit the random pause between two attempts.
 	// The upper bound of the pause starts at initialBackoff and doubles up to maxBackoff.
 	initialBackoff = 10 * time.Millisecond
@@ -45,6 +49,8 @@
 	attemptTimeout time.Duration
 	// lastFollower counts the calls of followers.
 	lastFollower int
+	// avoidUntil is until when a follower that gave no answer is not called, by address.
+	avoidUntil map[string]time.Time
 	// leader is the address of the member last known to lead, or empty if the leader is not known.
 	leader string
 	// search is the current search for the leader, or nil.
@@ -56,6 +62,7 @@
 	return &Caller{
 		tls:            tlsConfig,
 		clients:        map[string]*transporter.Client{},
+		avoidUntil:     map[string]time.Time{},
 		seeds:          addresses,
 		addresses:      addresses,
 		attemptTimeout: attemptTimeout,
@@ -98,13 +105,27 @@
 		followerCtx, cancel := context.WithTimeout(ctx, followerTimeout)
 		err := client.Call(followerCtx, method, params, result)
 		cancel()
-		if err == nil {
+		var refusal *modeler.RefusalError
+		switch {
+		case err == nil:
 			return nil
+		case ctx.Err() == nil && !errors.As(err, &refusal):
+			c.avoid(client)
 		}
 	}
 	return c.Call(ctx, method, params, result)
 }
 
+// avoid makes calls that any member can answer pass over the member for a while, and
+// closes the connection to it.
+func (c *Caller) avoid(client *transporter.Client) {
+	c.mutex.Lock()
+	maps.DeleteFunc(c.avoidUntil, func(_ string, until time.Time) bool { return time.Now().After(until) })
+	c.avoidUntil[client.Address()] = time.Now().Add(avoidFollower)
+	c.mutex.Unlock()
+	client.Reset()
+}
+
 // nextFollower returns a client of the next member that is not known to lead.
 func (c *Caller) nextFollower() (*transporter.Client, bool) {
 	c.mutex.Lock()
@@ -112,7 +133,7 @@
 	for range c.addresses {
 		c.lastFollower++
 		address := c.addresses[c.lastFollower%len(c.addresses)]
-		if address != c.leader {
+		if address != c.leader && time.Now().After(c.avoidUntil[address]) {
 			return c.clientLocked(address), true
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -106,7 +106,10 @@
 	// leaseUntil is the end of the leadership lease, in nanoseconds of the
 	// coordinator's clock.
 	leaseUntil atomic.Int64
-	diskFull   atomic.Bool
+	// currentAsOf is when the state of a follower was surely current, in nanoseconds of
+	// the coordinator's clock; zero if it never was.
+	currentAsOf atomic.Int64
+	diskFull    atomic.Bool
 	// loopDelay is the longest delay of a tick since TakeLoopDelay was last called, in
 	// nanoseconds.
 	loopDelay atomic.Int64
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -74,6 +74,7 @@
 func (c *Coordinator) publishLeadership() {
 	now := c.Now()
 	c.leaseUntil.Store(int64(c.core.LeaseUntil()))
+	c.currentAsOf.Store(int64(c.core.CurrentAsOf()))
 	old := c.Leadership()
 	next := Leadership{Term: c.core.Term(), ID: c.core.Leader()}
 	for _, m := range c.core.Members() {
@@ -156,6 +157,14 @@
 	}
 }
 
+// IsStateRecent reports whether the state of this member, which may be a follower,
+// holds all that was committed longer ago than the age, apart from what a message of
+// the leader takes to arrive.
+func (c *Coordinator) IsStateRecent(age time.Duration) bool {
+	asOf := time.Duration(c.currentAsOf.Load())
+	return c.ConfirmLeadership() || (asOf > 0 && c.Now()-asOf <= age)
+}
+
 // handleTransfer drops the leader lease before another member can be elected.
 func (c *Coordinator) handleTransfer() {
 	c.leaseUntil.Store(0)
--- a/internal/messenger/workflows.go
+++ b/internal/messenger/workflows.go
@@ -44,18 +44,24 @@
 // WorkflowCall names the workflow or queue to get, or the workflow to cancel.
 type WorkflowCall struct {
 	Target RequestTarget `json:"place"`
+	// MinTable is the lowest version of the queue table by which the call may be answered.
+	MinTable uint64 `json:"minTable,omitempty"`
 }
 
 // WorkflowStatus describes a workflow to a caller.
 type WorkflowStatus struct {
 	ID    string                `json:"id"`
 	Phase modeler.WorkflowPhase `json:"phase"`
+	// Table is the version of the queue table by which the call was answered.
+	Table uint64 `json:"table,omitempty"`
 }
 
 // QueueStatus describes a queue to a caller.
 type QueueStatus struct {
 	// Waiting is the number of workflows of which no step has started.
 	Waiting int `json:"waiting"`
+	// Table is the version of the queue table by which the call was answered.
+	Table uint64 `json:"table,omitempty"`
 }
 
 // AnnounceSessionCall passes on the heartbeat of a worker.
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -154,6 +154,7 @@
 	}
 	c.leader = m.From
 	c.lastLeaderContact = c.now
+	c.leaderCommit = m.Commit
 	c.resetElectionDeadline()
 	reply := Message{Kind: MessageAppendReply, To: m.From, SentAt: m.SentAt}
 	if m.Index < c.commitIndex {
@@ -314,6 +315,16 @@
 	return r
 }
 
+// CurrentAsOf returns a time such that this member, which follows a leader, has applied
+// all that the leader had committed when it sent what arrived then. It returns zero
+// if the member has never caught up with a leader.
+func (c *Core) CurrentAsOf() time.Duration {
+	if c.role == RoleFollower && c.leader != "" && c.lastApplied >= c.leaderCommit {
+		c.currentAsOf = c.lastLeaderContact
+	}
+	return c.currentAsOf
+}
+
 // Advance reports that the work of the last Ready is on disk. A leader that is
 // no longer a voter steps down once the membership without it is committed.
 func (c *Core) Advance() {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -189,6 +189,11 @@
 	electionDeadline time.Duration
 	// lastLeaderContact is when the member last had contact to a leader, or when it started.
 	lastLeaderContact time.Duration
+	// leaderCommit is the commit index that the leader stated last.
+	leaderCommit uint64
+	// currentAsOf is the latest contact to a leader up to which all that was committed
+	// is in Ready.Committed or before it; zero if there was none.
+	currentAsOf time.Duration
 	// nextHeartbeat is when a leader sends the next heartbeats.
 	nextHeartbeat time.Duration
 	// electedAt is when the member became leader.
--- /dev/null
+++ b/internal/responder/reads_test.go
@@ -0,0 +1,118 @@
+package responder_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/samphirewick/samphirewick/internal/messenger"
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/runner"
+)
+
+const readTableVersion = 7
+
+// submitForReading configures one queue, and submits a workflow that never starts.
+func (c *cell) submitForReading() messenger.WorkflowCall {
+	c.t.Helper()
+	c.awaitLeader()
+	c.mustCall(messenger.MethodApplyQueueTable, messenger.ApplyQueueTableCall{Table: modeler.QueueTable{
+		Version: readTableVersion, Pools: []modeler.Pool{{Name: "planner"}},
+		Queues: []modeler.Queue{{
+			Name: "lists", Host: "h", Prefix: "/q/", Service: "planner", MaxAttempts: 1, Timeout: time.Second, DeadlineFactor: 1,
+		}},
+	}}, nil)
+	target := messenger.RequestTarget{Host: "h", Path: "/q/5c0e7a21d94b36f8"}
+	c.mustCall(messenger.MethodSubmitWorkflow, messenger.SubmitWorkflowCall{Target: target, Spec: modeler.WorkflowSpec{
+		Steps: []modeler.StepSpec{{Count: 1, Need: modeler.Resources{Processors: 1}}},
+	}}, nil)
+	time.Sleep(time.Second)
+	return messenger.WorkflowCall{Target: target}
+}
+
+// followers returns the members that do not lead.
+func (c *cell) followers() []*member {
+	var followers []*member
+	for _, m := range c.members {
+		if m != c.leader() {
+			followers = append(followers, m)
+		}
+	}
+	return followers
+}
+
+func isRefusedByFollower(err error) bool {
+	var refusal *modeler.RefusalError
+	return errors.As(err, &refusal) && refusal.Code == modeler.CodeNotLeader
+}
+
+// TestCallersReadingStatesDoNotLoadTheLeader checks that followers answer the calls
+// whose number grows with the workflows that wait.
+func TestCallersReadingStatesDoNotLoadTheLeader(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		call := c.submitForReading()
+		for _, m := range c.followers() {
+			var workflow messenger.WorkflowStatus
+			if err := c.callMember(m, "entry", messenger.MethodGetWorkflow, call, &workflow); err != nil {
+				t.Errorf("%s does not answer for a workflow: %v", m.id, err)
+			}
+			if workflow.Phase != modeler.WorkflowWaiting || workflow.Table != readTableVersion {
+				t.Errorf("%s answers %+v, want a waiting workflow by table %d", m.id, workflow, readTableVersion)
+			}
+			queue := messenger.WorkflowCall{Target: messenger.RequestTarget{Host: "h", Path: "/q/"}}
+			var status messenger.QueueStatus
+			if err := c.callMember(m, "entry", messenger.MethodGetQueue, queue, &status); err != nil || status.Waiting != 1 {
+				t.Errorf("%s answers that %d workflows wait (%v), want 1", m.id, status.Waiting, err)
+			}
+		}
+	})
+}
+
+func TestFollowerLeavesReadsToTheLeader(t *testing.T) {
+	tests := map[string]struct {
+		change func(*messenger.WorkflowCall)
+		// cutOff is how long the follower has had no contact to the leader.
+		cutOff time.Duration
+	}{
+		"of a workflow that it does not know": {change: func(call *messenger.WorkflowCall) { call.Target.Path = "/q/00000000000000aa" }},
+		"of a route that it does not know":    {change: func(call *messenger.WorkflowCall) { call.Target.Host = "other" }},
+		"by a later queue table than its own": {change: func(call *messenger.WorkflowCall) { call.MinTable = readTableVersion + 1 }},
+		"while it is cut off":                 {change: func(*messenger.WorkflowCall) {}, cutOff: 1500 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+				call := c.submitForReading()
+				follower := c.followers()[0]
+				if tt.cutOff > 0 {
+					c.setPartitioned(follower.id, true)
+					time.Sleep(tt.cutOff)
+				}
+				tt.change(&call)
+				err := c.callMember(follower, "entry", messenger.MethodGetWorkflow, call, nil)
+				if !isRefusedByFollower(err) {
+					t.Errorf("got %v, want a refusal as the follower does not lead", err)
+				}
+			})
+		})
+	}
+}
+
+func TestFollowerShowsEndOfWorkflowRightAfterItsCommit(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		call := c.submitForReading()
+		phase := make(chan modeler.WorkflowPhase, 1)
+		go func() {
+			var status messenger.WorkflowStatus
+			if err := c.callMember(c.followers()[0], "entry", messenger.MethodGetWorkflow, call, &status); err != nil {
+				t.Error(err)
+			}
+			phase <- status.Phase
+		}()
+		c.mustCall(messenger.MethodCancelWorkflow, call, nil)
+		if got := <-phase; got != modeler.WorkflowCancelled {
+			t.Errorf("got %q, want %q", got, modeler.WorkflowCancelled)
+		}
+	})
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -70,9 +70,9 @@
 		messenger.MethodSettleRequests: onLeader(r, (*Responder).settleRequests),
 
 		messenger.MethodSubmitWorkflow:  onLeader(r, (*Responder).submitWorkflow),
-		messenger.MethodGetWorkflow:     onLeader(r, (*Responder).getWorkflow),
+		messenger.MethodGetWorkflow:     onAnyMember(r, (*Responder).readWorkflow, (*Responder).getWorkflow),
 		messenger.MethodCancelWorkflow:  onLeader(r, (*Responder).cancelWorkflow),
-		messenger.MethodGetQueue:        onLeader(r, (*Responder).getQueue),
+		messenger.MethodGetQueue:        onAnyMember(r, (*Responder).readQueue, (*Responder).getQueue),
 		messenger.MethodAnnounceSession: r.confirmSession,
 		messenger.MethodLeaveSession:    onLeader(r, (*Responder).leaveSession),
 		messenger.MethodApplyQueueTable: onLeader(r, (*Responder).applyQueueTable),
--- a/internal/responder/workflows.go
+++ b/internal/responder/workflows.go
@@ -59,7 +59,7 @@
 	if !ok || len(w.Runs) == 0 {
 		return nil, modeler.Refuse(modeler.CodeNotFound, "workflow", "%q is not known", id)
 	}
-	return messenger.WorkflowStatus{ID: id, Phase: w.Phase}, nil
+	return messenger.WorkflowStatus{ID: id, Phase: w.Phase, Table: r.coordinator.State().QueueTable.Version}, nil
 }
 
 // cancelWorkflow commits the cancellation of a workflow. It commits the
@@ -89,7 +89,8 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return messenger.QueueStatus{Waiting: r.queueCounts.waiting(r.coordinator.State(), queue.Name)}, nil
+	state := r.coordinator.State()
+	return messenger.QueueStatus{Waiting: r.queueCounts.waiting(state, queue.Name), Table: state.QueueTable.Version}, nil
 }
 
 // queueCountMaxAge is the maximum age of the numbers of waiting workflows. Callers
