fix: a submission that is sent again adds no second entry to the log

Until the first one is applied, each was committed once more, which made commits later. Change: one that is being committed is waited for. TestSubmissionSentAgainWhileItsAnswerIsLateIsCommittedOnce fails before (5 entries).

--- a/internal/responder/reads_test.go
+++ b/internal/responder/reads_test.go
@@ -116,3 +116,30 @@
 		}
 	})
 }
+
+// TestSubmissionSentAgainWhileItsAnswerIsLateIsCommittedOnce checks that a caller that
+// does not wait for a slow leader adds no entries to its log.
+func TestSubmissionSentAgainWhileItsAnswerIsLateIsCommittedOnce(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		call := c.submitForReading()
+		call.Target.Path = "/q/00000000000000aa"
+		submission := messenger.SubmitWorkflowCall{Target: call.Target, Spec: modeler.WorkflowSpec{
+			Steps: []modeler.StepSpec{{Count: 1, Need: modeler.Resources{Processors: 1}}},
+		}}
+		leader := c.leader()
+		before := leader.running().coordinator.State().Revision
+		const copies = 5
+		results := make(chan error, copies)
+		for range copies {
+			go func() { results <- c.callMember(leader, "entry", messenger.MethodSubmitWorkflow, submission, nil) }()
+		}
+		for range copies {
+			if err := <-results; err != nil {
+				t.Error(err)
+			}
+		}
+		if got := leader.running().coordinator.State().Revision - before; got != 1 {
+			t.Errorf("%d copies of a submission added %d entries to the log, want 1", copies, got)
+		}
+	})
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -23,6 +23,7 @@
 	options     Options
 	methods     map[string]method
 	queueCounts queueCounts
+	submissions submissions
 }
 
 // Options configures a Responder.
--- /dev/null
+++ b/internal/responder/submissions.go
@@ -0,0 +1,53 @@
+package responder
+
+import (
+	"context"
+	"sync"
+
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reducer"
+)
+
+// submissions holds the submissions of workflows that are being committed. Callers
+// send a submission again while its answer is late; only the first one is committed.
+type submissions struct {
+	mutex   sync.Mutex
+	pending map[string]*submission
+}
+
+// submission is one commit. Its result is set before done is closed.
+type submission struct {
+	done   chan struct{}
+	result reducer.Result
+	err    error
+}
+
+// commit runs propose for the workflow, or waits for the result of the same submission
+// that runs already, until the context ends.
+func (s *submissions) commit(
+	ctx context.Context, id string, propose func() (reducer.Result, error),
+) (reducer.Result, error) {
+	s.mutex.Lock()
+	running, ok := s.pending[id]
+	if ok {
+		s.mutex.Unlock()
+		select {
+		case <-running.done:
+			return running.result, running.err
+		case <-ctx.Done():
+			return reducer.Result{}, modeler.Refuse(modeler.CodeUnknownOutcome, "", "the submission was not committed in time")
+		}
+	}
+	if s.pending == nil {
+		s.pending = map[string]*submission{}
+	}
+	started := &submission{done: make(chan struct{})}
+	s.pending[id] = started
+	s.mutex.Unlock()
+	started.result, started.err = propose()
+	s.mutex.Lock()
+	delete(s.pending, id)
+	s.mutex.Unlock()
+	close(started.done)
+	return started.result, started.err
+}
--- a/internal/responder/workflows.go
+++ b/internal/responder/workflows.go
@@ -43,7 +43,9 @@
 	if known, ok := r.coordinator.State().Workflows.Get(id); ok && len(known.Runs) > 0 {
 		return struct{}{}, nil
 	}
-	result, err := r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
+	result, err := r.submissions.commit(ctx, id, func() (reducer.Result, error) {
+		return r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
+	})
 	r.options.Log.Info("workflow submitted", zap.String("workflow", id), zap.String("queue", queue.Name),
 		zap.Uint64("revision", result.Revision), zap.Error(err))
 	return struct{}{}, err
