fix: a call is not sent again to a leader that answers other calls

Cause: an entry gave up an attempt after 0.7 s, asked all members who leads, and sent the call to the same leader again, which then had both to answer. Change: an attempt goes on while the member answers other calls of this process within 0.7 s, until another leader is found or the caller's time is over. A member that answers nothing is given up after 0.7 s as before. TestCallIsNotSentAgainToSlowLeader fails before (5 calls instead of 1).

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// attemptTimeout bounds one attempt with one member, so that an unreachable
-	// member does not use up the time of the call. Control holds no call for longer.
+	// attemptTimeout is how long an attempt goes on while the member answers no call at
+	// all, so that an unreachable member does not use up the time of the call. It bounds
+	// an attempt by a long poll; control holds none for longer.
 	attemptTimeout = 700 * time.Millisecond
 	// leaderCheckDelay is how long an attempt waits for its answer before it searches
 	// for another leader. A commit takes about a tenth of it.
@@ -45,8 +46,10 @@
 	seeds []string
 	// addresses holds the addresses of the known members and the seeds.
 	addresses []string
-	// attemptTimeout bounds one attempt with one member.
+	// attemptTimeout is the constant of that name; tests replace it.
 	attemptTimeout time.Duration
+	// answeredAt is when a member last answered a call, by address.
+	answeredAt map[string]time.Time
 	// lastFollower counts the calls of followers.
 	lastFollower int
 	// avoidUntil is until when a follower that gave no answer is not called, by address.
@@ -63,6 +66,7 @@
 		tls:            tlsConfig,
 		clients:        map[string]*transporter.Client{},
 		avoidUntil:     map[string]time.Time{},
+		answeredAt:     map[string]time.Time{},
 		seeds:          addresses,
 		addresses:      addresses,
 		attemptTimeout: attemptTimeout,
@@ -164,16 +168,20 @@
 // try calls the member once. A member that does not lead or does not answer is
 // not called again until a search finds it to be the leader.
 func (c *Caller) try(ctx context.Context, client *transporter.Client, method string, params, result any) error {
-	attemptCtx, cancel := context.WithTimeout(ctx, c.attemptTimeout)
-	defer cancel()
-	if !longPollMethods[method] {
-		go c.watchForNewLeader(attemptCtx, cancel, client)
+	attemptCtx, cancel := context.WithCancel(ctx)
+	if longPollMethods[method] {
+		attemptCtx, cancel = context.WithTimeout(ctx, c.attemptTimeout)
+	} else {
+		go c.watchAttempt(attemptCtx, cancel, client, c.attemptTimeout)
 	}
+	defer cancel()
 	err := client.Call(attemptCtx, method, params, result)
 	var refusal *modeler.RefusalError
 	switch {
 	case err == nil:
+		c.recordAnswer(client)
 	case errors.As(err, &refusal):
+		c.recordAnswer(client)
 		if refusal.Code == modeler.CodeNotLeader {
 			c.clearLeader(client)
 		}
@@ -192,30 +200,65 @@
 	messenger.MethodGetDocuments: true,
 }
 
-// watchForNewLeader searches for another leader while a call takes longer than
-// leaderCheckDelay, and cancels the call once there is one. The member that was
-// called may be frozen or unreachable. It is not asked, since it may also be
-// overloaded, and a question from every caller that waits would add to that.
-func (c *Caller) watchForNewLeader(ctx context.Context, cancelCall func(), client *transporter.Client) {
-	for delay := leaderCheckDelay; ; delay *= 2 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(delay):
-		}
-		s := c.startSearch(client.Address())
+// watchAttempt cancels an attempt if there is another leader, which it searches for
+// while the attempt takes longer than leaderCheckDelay, or if the member answers no call
+// for the time-out. A member that answers other calls is slow: the call would only wait
+// again behind a copy of itself. The member is not asked, since it may be overloaded, and
+// a question from every caller that waits would add to that.
+func (c *Caller) watchAttempt(
+	ctx context.Context, cancelCall func(), client *transporter.Client, attemptTimeout time.Duration,
+) {
+	checkedAt, timeout := time.Now(), time.NewTicker(attemptTimeout)
+	defer timeout.Stop()
+	delay := leaderCheckDelay
+	searchDue := time.NewTimer(delay)
+	defer searchDue.Stop()
+	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.done:
-		}
-		if leader, ok := c.leaderClient(); ok && leader != client {
-			cancelCall()
-			return
+		case <-timeout.C:
+			if !c.hasAnsweredSince(client, checkedAt) {
+				cancelCall()
+				return
+			}
+			checkedAt = time.Now()
+		case <-searchDue.C:
+			if c.isOtherLeaderFound(ctx, client) {
+				cancelCall()
+				return
+			}
+			delay *= 2
+			searchDue.Reset(delay)
 		}
 	}
 }
 
+// isOtherLeaderFound searches for another leader than the member, and reports whether
+// there is one.
+func (c *Caller) isOtherLeaderFound(ctx context.Context, client *transporter.Client) bool {
+	s := c.startSearch(client.Address())
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.done:
+	}
+	leader, ok := c.leaderClient()
+	return ok && leader != client
+}
+
+func (c *Caller) recordAnswer(client *transporter.Client) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.answeredAt[client.Address()] = time.Now()
+}
+
+func (c *Caller) hasAnsweredSince(client *transporter.Client, since time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.answeredAt[client.Address()].After(since)
+}
+
 // clearLeader clears the known leader if it is this member, which does not lead or does not answer.
 func (c *Caller) clearLeader(client *transporter.Client) {
 	c.mutex.Lock()
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -22,11 +22,16 @@
 	// unresponsive makes the member accept calls without ever answering.
 	unresponsive atomic.Bool
 	calls        atomic.Int64
+	// works counts the calls but confirm and those that ask who leads. arrived receives a
+	// value for each of them that the test has room for.
+	works   atomic.Int64
+	arrived chan struct{}
 	// locates counts the calls that ask who leads. located receives a value for each of
 	// them that the test has room for.
 	locates atomic.Int64
 	located chan struct{}
-	// isSlow makes the member answer any other call only after released is closed.
+	// isSlow makes the member answer any other call but confirm only after released is
+	// closed.
 	isSlow   atomic.Bool
 	released chan struct{}
 	members  []replicator.Member
@@ -40,6 +45,7 @@
 	}
 	m := &fakeMember{
 		address: listener.Addr().String(), located: make(chan struct{}, 1), released: make(chan struct{}),
+		arrived: make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -68,12 +74,17 @@
 		return messenger.LocateAnswer{IsLeader: m.isLeader.Load(), Members: m.members}, nil
 	}
 	m.calls.Add(1)
-	if m.isSlow.Load() {
-		<-m.released
-	}
 	if method == "confirm" {
 		return struct{}{}, nil
 	}
+	m.works.Add(1)
+	select {
+	case m.arrived <- struct{}{}:
+	default:
+	}
+	if m.isSlow.Load() {
+		<-m.released
+	}
 	if !m.isLeader.Load() {
 		return nil, modeler.Refuse(modeler.CodeNotLeader, "", "this member does not lead")
 	}
@@ -201,6 +212,48 @@
 	}
 }
 
+// TestCallIsNotSentAgainToSlowLeader checks that a call which the leader has not answered
+// is sent again only if the leader answers no other calls either.
+func TestCallIsNotSentAgainToSlowLeader(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		answersOthers bool
+		wantCalls     int64
+	}{
+		"answers other calls": {answersOthers: true, wantCalls: 1},
+		"answers nothing":     {answersOthers: false, wantCalls: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			leader := newFakeMember(t)
+			leader.isLeader.Store(true)
+			leader.isSlow.Store(true)
+			c := New([]string{leader.address}, nil)
+			c.attemptTimeout = 50 * time.Millisecond
+			result := make(chan error, 1)
+			go func() { result <- call(t, c, time.Minute) }()
+			<-leader.arrived
+			if tt.answersOthers {
+				for began := time.Now(); time.Since(began) < 5*c.attemptTimeout; {
+					if err := c.Call(t.Context(), "confirm", struct{}{}, nil); err != nil {
+						t.Fatal(err)
+					}
+				}
+			} else {
+				<-leader.arrived
+			}
+			close(leader.released)
+			if err := <-result; err != nil {
+				t.Error(err)
+			}
+			if got := leader.works.Load(); got != tt.wantCalls {
+				t.Errorf("the call was sent %d times, want %d", got, tt.wantCalls)
+			}
+		})
+	}
+}
+
 func TestCallThatAnyMemberAnswersSparesTheLeader(t *testing.T) {
 	t.Parallel()
 	leader, follower := newFakeMember(t), newFakeMember(t)
