feat: warnings are not dropped with the lines of a busy process

Warnings and errors have a limit of their own, 200 a second; the load is a warning while the event loop is 0.2 s late or more.

--- a/internal/controller/loadreport.go
+++ b/internal/controller/loadreport.go
@@ -10,8 +10,13 @@
 	"github.com/samphirewick/samphirewick/internal/scheduler"
 )
 
-// loadReportInterval is how often the leader logs its load.
-const loadReportInterval = time.Second
+const (
+	// loadReportInterval is how often the leader logs its load.
+	loadReportInterval = time.Second
+	// lateLoop is the delay of the event loop from which on the report is a warning. A
+	// follower starts an election after some three hundred milliseconds.
+	lateLoop = 200 * time.Millisecond
+)
 
 // leaderLoad is the work of the leader since its last report. It is safe for
 // concurrent use.
@@ -81,7 +86,11 @@
 		l.options.Scope.Gauge("steps_waiting").Update(float64(sum.waitingSteps))
 		l.options.Scope.Gauge("loop_delay").Update(delay.Seconds())
 	}
-	l.log.Info("leader load", zap.Int("rounds", sum.rounds), zap.Duration("planTime", sum.planTime),
+	level := zap.InfoLevel
+	if delay >= lateLoop {
+		level = zap.WarnLevel
+	}
+	l.log.Log(level, "leader load", zap.Int("rounds", sum.rounds), zap.Duration("planTime", sum.planTime),
 		zap.Duration("commitTime", sum.commitTime), zap.Int("waitingSteps", sum.waitingSteps), zap.Int("starts", sum.starts),
 		zap.Int("polls", sum.polls), zap.Int("lostPolls", sum.lostPolls), zap.Any("calls", sum.calls), zap.Duration("loopDelay", delay))
 }
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -1,6 +1,6 @@
 // Package logger writes the log of a process as JSON lines to standard output. It
-// limits the rate of lines and never blocks the caller; excess lines are dropped
-// and counted.
+// limits the rate of lines, apart for warnings and errors, and never blocks the
+// caller; excess lines are dropped and counted.
 package logger
 
 import (
@@ -30,8 +30,13 @@
 	encoding.TimeKey = "at"
 	encoding.StacktraceKey = zapcore.OmitKey
 	encoding.CallerKey = zapcore.OmitKey
-	writer := newAsyncWriter(out, maxQueuedLines, maxLinesPerSecond)
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), writer, parsed)
+	writer := newAsyncWriter(out, maxQueuedLines)
+	below := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= parsed && l < zapcore.WarnLevel })
+	warnings := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= parsed && l >= zapcore.WarnLevel })
+	core := zapcore.NewTee(
+		zapcore.NewCore(zapcore.NewJSONEncoder(encoding), writer.newLane(maxLinesPerSecond), below),
+		zapcore.NewCore(zapcore.NewJSONEncoder(encoding), writer.newLane(maxWarningsPerSecond), warnings),
+	)
 	log := zap.New(core).With(zap.String("program", program), zap.String("instance", instance))
 	writer.report = func(dropped int64, window time.Duration) {
 		log.Warn("log lines lost", zap.Int64("count", dropped), zap.Duration("within", window))
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -94,6 +94,34 @@
 	})
 }
 
+func TestWarningsAreNotDroppedForOtherLines(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		out := &fakeOutput{}
+		log, closeLog, err := newWithOutput(out, "info", "control", "c1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 2 * maxLinesPerSecond {
+			log.Info("again")
+			synctest.Wait()
+		}
+		for range maxWarningsPerSecond + 7 {
+			log.Warn("saturated")
+			synctest.Wait()
+		}
+		closeLog()
+		written := map[any]int{}
+		for _, line := range out.lines(t) {
+			written[line["msg"]]++
+		}
+		if written["again"] != maxLinesPerSecond || written["saturated"] != maxWarningsPerSecond {
+			t.Errorf("%d lines and %d warnings written, want %d and %d",
+				written["again"], written["saturated"], maxLinesPerSecond, maxWarningsPerSecond)
+		}
+	})
+}
+
 func TestBlockedOutputDoesNotBlockCallers(t *testing.T) {
 	t.Parallel()
 	out := &fakeOutput{unblock: make(chan struct{})}
--- a/internal/logger/writer.go
+++ b/internal/logger/writer.go
@@ -13,6 +13,9 @@
 	// maxLinesPerSecond bounds the rate of lines. At the peak load of the users'
 	// sites the leader writes about half of it.
 	maxLinesPerSecond = 1000
+	// maxWarningsPerSecond bounds the rate of warnings and errors, which have a limit of
+	// their own so that a busy process does not drop the lines that say why.
+	maxWarningsPerSecond = 200
 	// maxWriteBytes is the size from which a batch of lines is written without
 	// adding more lines.
 	maxWriteBytes = 32 << 10
@@ -21,53 +24,66 @@
 )
 
 // asyncWriter queues lines without blocking and writes them in order from its own
-// goroutine. It drops lines over the rate limit or over the queue length, and
-// reports their number after each window.
+// goroutine. It drops lines over the rate limit of their lane or over the queue length,
+// and reports their number after each window.
 type asyncWriter struct {
-	out               io.Writer
-	lines             chan []byte
-	maxLinesPerWindow int64
+	out   io.Writer
+	lines chan []byte
+	// lanes is not changed once run has begun.
+	lanes []*lane
 	// report logs the number of lines that were dropped in the last window.
 	report func(dropped int64, window time.Duration)
 
-	// received counts the lines passed to Write in the current window, dropped those
-	// of them that were not queued.
-	received atomic.Int64
-	dropped  atomic.Int64
+	// dropped counts the lines of the current window that were not queued.
+	dropped atomic.Int64
 
 	closing chan struct{}
 	closed  chan struct{}
 	once    sync.Once
 }
 
-func newAsyncWriter(out io.Writer, queueLength int, maxLinesPerWindow int64) *asyncWriter {
+func newAsyncWriter(out io.Writer, queueLength int) *asyncWriter {
 	return &asyncWriter{
-		out:               out,
-		lines:             make(chan []byte, queueLength),
-		maxLinesPerWindow: maxLinesPerWindow,
-		report:            func(int64, time.Duration) {},
-		closing:           make(chan struct{}),
-		closed:            make(chan struct{}),
+		out:     out,
+		lines:   make(chan []byte, queueLength),
+		report:  func(int64, time.Duration) {},
+		closing: make(chan struct{}),
+		closed:  make(chan struct{}),
 	}
 }
 
+// lane passes lines to a writer, up to a number in each window.
+type lane struct {
+	writer            *asyncWriter
+	maxLinesPerWindow int64
+	// received counts the lines of the current window.
+	received atomic.Int64
+}
+
+// newLane adds a lane. It must be called before run.
+func (w *asyncWriter) newLane(maxLinesPerWindow int64) *lane {
+	l := &lane{writer: w, maxLinesPerWindow: maxLinesPerWindow}
+	w.lanes = append(w.lanes, l)
+	return l
+}
+
 // Write implements zapcore.WriteSyncer. It never blocks.
-func (w *asyncWriter) Write(line []byte) (int, error) {
-	if w.received.Add(1) > w.maxLinesPerWindow {
-		w.dropped.Add(1)
+func (l *lane) Write(line []byte) (int, error) {
+	if l.received.Add(1) > l.maxLinesPerWindow {
+		l.writer.dropped.Add(1)
 		return len(line), nil
 	}
 	copied := append([]byte(nil), line...)
 	select {
-	case w.lines <- copied:
+	case l.writer.lines <- copied:
 	default:
-		w.dropped.Add(1)
+		l.writer.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
 // Sync implements zapcore.WriteSyncer.
-func (w *asyncWriter) Sync() error { return nil }
+func (l *lane) Sync() error { return nil }
 
 func (w *asyncWriter) run() {
 	defer close(w.closed)
@@ -89,7 +105,9 @@
 
 // startWindow starts a new window and reports the lines dropped in the last one.
 func (w *asyncWriter) startWindow() {
-	w.received.Store(0)
+	for _, l := range w.lanes {
+		l.received.Store(0)
+	}
 	if dropped := w.dropped.Swap(0); dropped > 0 {
 		w.report(dropped, rateWindow)
 	}
