--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -231,41 +231,49 @@
 		// The capacity is kept for the gang already, so that these claim nothing.
 		c.Sessions = slices.Clone(g.Expired[:min(len(g.Expired), d.MaxSessions)])
 	}
-	renewed := len(c.Sessions)
 	// Workers that the gang may run on may stay full for long. Once it knows enough of
 	// them, it asks about free ones only.
-	knowsEnough := c.Renews || g.Workers >= d.Tasks
-	var e estimate
-	e.mean = float64(g.Slots)
-	possible := g.Slots
+	freeOnly := c.Renews || g.Workers >= d.Tasks
+	added, tasks := l.undecidedForGang(d, g.Slots, freeOnly, d.MaxSessions-len(c.Sessions))
+	if len(added) > 0 {
+		c.Sessions = append(c.Sessions, added...)
+		c.Tasks = tasks
+	}
+	if c.Renews {
+		c.Tasks = max(0, c.Tasks-float64(g.Slots))
+	}
+	return c, len(c.Sessions) > 0
+}
+
+// undecidedForGang returns the sessions without a decision to name for a gang that has
+// gathered capacity for a number of its tasks, limit at most, and the expected number
+// of its tasks that have capacity then. It returns no sessions if only free ones may be
+// named and these have too little capacity for the rest.
+func (l *Ledger) undecidedForGang(d Demand, gathered int, freeOnly bool, limit int) ([]string, float64) {
+	var sessions []string
+	e := estimate{mean: float64(gathered)}
+	possible := gathered
 	l.sort()
 	for _, w := range l.workers {
-		if len(c.Sessions) >= d.MaxSessions || e.suffices(d.Tasks, gangConfidence) {
+		if len(sessions) >= limit || e.suffices(d.Tasks, gangConfidence) {
 			break
 		}
 		if !d.IsUndecided(w.Key) || !d.Need.FitsIn(w.Free.Plus(w.Used)) {
 			continue
 		}
 		slots := d.slots(w.room(0))
-		if slots == 0 && knowsEnough {
+		if slots == 0 && freeOnly {
 			continue
 		}
 		// A worker that is full will be emptied for the gang if it is permitted.
 		e.add(max(1, slots), d.GrantRate)
 		possible += slots
-		c.Sessions = append(c.Sessions, w.Key)
+		sessions = append(sessions, w.Key)
 	}
-	if knowsEnough && possible < d.Tasks {
-		c.Sessions = c.Sessions[:renewed]
+	if freeOnly && possible < d.Tasks {
+		return nil, 0
 	}
-	switch {
-	case len(c.Sessions) == renewed:
-	case c.Renews:
-		c.Tasks = min(e.mean, float64(d.Tasks)) - float64(g.Slots)
-	default:
-		c.Tasks = min(e.mean, float64(d.Tasks))
-	}
-	return c, len(c.Sessions) > 0
+	return sessions, min(e.mean, float64(d.Tasks))
 }
 
 // sort sorts the workers by their unclaimed processors when the first request is
