fix: a slow follower is not taken for a silent one

Change: a follower is not called for a while only if it answers no call at all; it waits for 0.12 s for a job that it does not know before it leaves it to the leader. TestSilentFollowerIsNotCalledForAWhile holds the first part of the rule.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -103,17 +103,22 @@
 
 // CallFollower calls a member that is not known to lead, a different one each time,
 // and the leader if that member does not carry out the call. It relieves the leader of
-// calls that any member can answer as a rule.
+// calls that any member can answer as a rule. A member that answers no call for
+// followerTimeout is not called for a while.
 func (c *Caller) CallFollower(ctx context.Context, method string, params, result any) error {
 	if client, ok := c.nextFollower(); ok {
+		began := time.Now()
 		followerCtx, cancel := context.WithTimeout(ctx, followerTimeout)
 		err := client.Call(followerCtx, method, params, result)
 		cancel()
 		var refusal *modeler.RefusalError
 		switch {
 		case err == nil:
+			c.recordAnswer(client)
 			return nil
-		case ctx.Err() == nil && !errors.As(err, &refusal):
+		case errors.As(err, &refusal):
+			c.recordAnswer(client)
+		case ctx.Err() == nil && !c.hasAnsweredSince(client, began):
 			c.avoid(client)
 		}
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -254,6 +254,30 @@
 	}
 }
 
+// TestSilentFollowerIsNotCalledForAWhile checks that only the first call waits for a
+// member that answers nothing.
+func TestSilentFollowerIsNotCalledForAWhile(t *testing.T) {
+	t.Parallel()
+	leader, silent := newFakeMember(t), newFakeMember(t)
+	leader.isLeader.Store(true)
+	c := New([]string{leader.address, silent.address}, nil)
+	if err := call(t, c, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	silent.unresponsive.Store(true)
+	for range 5 {
+		if err := c.CallFollower(t.Context(), "confirm", struct{}{}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, ok := c.nextFollower(); ok {
+		t.Error("the silent member may be called again")
+	}
+	if got := leader.calls.Load() - leader.works.Load(); got != 5 {
+		t.Errorf("the leader answered %d calls for the silent member, want 5", got)
+	}
+}
+
 func TestCallThatAnyMemberAnswersSparesTheLeader(t *testing.T) {
 	t.Parallel()
 	leader, follower := newFakeMember(t), newFakeMember(t)
--- a/internal/responder/reads.go
+++ b/internal/responder/reads.go
@@ -47,17 +47,18 @@
 }
 
 // readWorkflow returns the phase of a workflow that this follower knows. Until the
-// workflow has ended, it waits for readWait.
+// workflow is known and has ended, it waits for readWait.
 func (r *Responder) readWorkflow(ctx context.Context, call messenger.WorkflowCall) (any, bool) {
 	for deadline := time.Now().Add(readWait); ; {
 		state := r.coordinator.State()
 		_, id, refusal := r.route(call.Target)
-		w, known := state.Workflows.Get(id)
-		if refusal != nil || state.QueueTable.Version < call.MinTable || !known || len(w.Runs) == 0 {
+		if refusal != nil || state.QueueTable.Version < call.MinTable {
 			return nil, false
 		}
+		w, known := state.Workflows.Get(id)
+		known = known && len(w.Runs) > 0
 		if w.IsEnded() || !time.Now().Before(deadline) {
-			return messenger.WorkflowStatus{ID: id, Phase: w.Phase, Table: state.QueueTable.Version}, true
+			return messenger.WorkflowStatus{ID: id, Phase: w.Phase, Table: state.QueueTable.Version}, known
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/responder/reads_test.go
+++ b/internal/responder/reads_test.go
@@ -75,7 +75,7 @@
 		// cutOff is how long the follower has had no contact to the leader.
 		cutOff time.Duration
 	}{
-		"of a workflow that it does not know": {change: func(call *messenger.WorkflowCall) { call.Target.Path = "/q/00000000000000aa" }},
+		"of a workflow that it does not know": {change: func(call *messenger.WorkflowCall) { call.Target.Path = "/q/aa" }},
 		"of a route that it does not know":    {change: func(call *messenger.WorkflowCall) { call.Target.Host = "other" }},
 		"by a later queue table than its own": {change: func(call *messenger.WorkflowCall) { call.MinTable = readTableVersion + 1 }},
 		"while it is cut off":                 {change: func(*messenger.WorkflowCall) {}, cutOff: 1500 * time.Millisecond},
