--- a/internal/controller/loadreport.go
+++ b/internal/controller/loadreport.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/scheduler"
 )
 
@@ -34,8 +35,11 @@
 	// the processor.
 	planTime, commitTime time.Duration
 	polls, lostPolls     int
-	// calls are counted by method. It is nil while there are none.
-	calls map[string]int
+	// calls are counted by method, refusals by code. Both are nil while there are none.
+	calls, refusals map[string]int
+	// withheldOrders are the polls and orders that were not sent to workers because the
+	// leadership was not confirmed.
+	withheldOrders int
 }
 
 func (l *leaderLoad) addRound(r scheduler.RoundStats) {
@@ -66,6 +70,21 @@
 	l.sum.calls[method]++
 }
 
+func (l *leaderLoad) addRefusal(code modeler.RefusalCode) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.sum.refusals == nil {
+		l.sum.refusals = map[string]int{}
+	}
+	l.sum.refusals[string(code)]++
+}
+
+func (l *leaderLoad) addWithheldOrder() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sum.withheldOrders++
+}
+
 // take returns the totals since the last call, and starts anew.
 func (l *leaderLoad) take() loadSum {
 	l.mutex.Lock()
@@ -78,6 +97,9 @@
 // CountCall counts a call of another process that this leader handles.
 func (l *LeaderState) CountCall(method string) { l.load.addCall(method) }
 
+// CountRefusal counts a call of another process that this leader refuses.
+func (l *LeaderState) CountRefusal(code modeler.RefusalCode) { l.load.addRefusal(code) }
+
 // reportLoad logs what the leader has done since the last report, and how late its
 // event loop was.
 func (l *LeaderState) reportLoad(context.Context) {
@@ -92,5 +114,6 @@
 	}
 	l.log.Log(level, "leader load", zap.Int("rounds", sum.rounds), zap.Duration("planTime", sum.planTime),
 		zap.Duration("commitTime", sum.commitTime), zap.Int("waitingSteps", sum.waitingSteps), zap.Int("starts", sum.starts),
-		zap.Int("polls", sum.polls), zap.Int("lostPolls", sum.lostPolls), zap.Any("calls", sum.calls), zap.Duration("loopDelay", delay))
+		zap.Int("polls", sum.polls), zap.Int("lostPolls", sum.lostPolls), zap.Any("calls", sum.calls), zap.Any("refusals", sum.refusals),
+		zap.Int("withheldOrders", sum.withheldOrders), zap.Duration("loopDelay", delay))
 }
--- a/internal/controller/loadreport_test.go
+++ b/internal/controller/loadreport_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/scheduler"
 )
 
@@ -17,9 +18,12 @@
 	l.addPoll(nil)
 	l.addPoll(errors.New("no answer"))
 	l.addCall("getWorkflow")
+	l.addRefusal(modeler.CodeUnknownOutcome)
+	l.addWithheldOrder()
 	want := loadSum{
 		rounds: 2, starts: 3, waitingSteps: 4, planTime: 3 * time.Millisecond, commitTime: 2 * time.Millisecond,
 		polls: 2, lostPolls: 1, calls: map[string]int{"getWorkflow": 1},
+		refusals: map[string]int{"unknownOutcome": 1}, withheldOrders: 1,
 	}
 	if got := l.take(); !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
--- a/internal/controller/workflows.go
+++ b/internal/controller/workflows.go
@@ -83,7 +83,13 @@
 		Now:     l.coordinator.Now,
 		State:   l.coordinator.State,
 		Propose: m.instrumentPropose(l.coordinator.Propose),
-		Confirm: func() bool { return l.coordinator.ConfirmLeadership() && l.coordinator.Leadership().Term == l.term },
+		Confirm: func() bool {
+			confirmed := l.coordinator.ConfirmLeadership() && l.coordinator.Leadership().Term == l.term
+			if !confirmed {
+				l.load.addWithheldOrder()
+			}
+			return confirmed
+		},
 		OnRunning: func(ctx context.Context, s modeler.Session, running []supervisor.Running) {
 			w.observeRunning(ctx, s.Key(), l.startedTasks(s, running))
 		},
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -90,10 +90,17 @@
 	if !ok {
 		return nil, modeler.Refuse(modeler.CodeNotFound, "method", "%q is not known", name)
 	}
-	if leader := r.manager.LeaderState(); leader != nil {
-		leader.CountCall(name)
+	leader := r.manager.LeaderState()
+	if leader == nil {
+		return m(ctx, params)
 	}
-	return m(ctx, params)
+	leader.CountCall(name)
+	answer, err := m(ctx, params)
+	var refusal *modeler.RefusalError
+	if errors.As(err, &refusal) {
+		leader.CountRefusal(refusal.Code)
+	}
+	return answer, err
 }
 
 // onLeader wraps a method that only the leader handles. An answer, and a refusal
