fix: a leader that is late makes its callers call again at once

Cause: the leadership lease lasts for 240 ms from when a heartbeat was sent. While the event loop is 250 to 500 ms late it has lapsed most of the time. The leader then did the work of each call, answered that its outcome is unknown, and the entry called again within 100 ms; asked whether it leads it said no, and was asked again. Change: an answer waits until the lease is renewed, as long as the term is the same one. A leader that reaches no quorum steps down, and its calls are refused as before. TestLeaderWhoseLeaseLapsesForAMomentAnswers fails before.

--- a/internal/controller/leaderstate.go
+++ b/internal/controller/leaderstate.go
@@ -80,6 +80,9 @@
 	}
 }
 
+// Term returns the term of the leadership.
+func (l *LeaderState) Term() uint64 { return l.term }
+
 func (l *LeaderState) propose(ctx context.Context, command reducer.Command) (reducer.Result, error) {
 	bounded, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -106,6 +106,8 @@
 	// leaseUntil is the end of the leadership lease, in nanoseconds of the
 	// coordinator's clock.
 	leaseUntil atomic.Int64
+	// leaseChanged is closed, and replaced, when the lease or the leadership changes.
+	leaseChanged atomic.Pointer[chan struct{}]
 	// currentAsOf is when the state of a follower was surely current, in nanoseconds of
 	// the coordinator's clock; zero if it never was.
 	currentAsOf atomic.Int64
@@ -198,6 +200,8 @@
 	c.identity.Store(&options.Identity)
 	c.state.Store(&state)
 	c.leadership.Store(&Leadership{})
+	leaseChanged := make(chan struct{})
+	c.leaseChanged.Store(&leaseChanged)
 	c.publishMembers()
 	return c, nil
 }
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -71,9 +71,44 @@
 	return l.IsLeader && c.leaseUntil.Load() > int64(c.Now())
 }
 
+// AwaitLeadership waits until this member surely leads in the term, and returns true. It
+// returns false once it does not lead in that term any more, after the timeout, or at the
+// end of the context. The lease of a leader that is late lapses for a moment again and
+// again; a caller that is refused then only calls again.
+func (c *Coordinator) AwaitLeadership(ctx context.Context, term uint64, timeout time.Duration) bool {
+	var timer <-chan time.Time
+	for {
+		changed := *c.leaseChanged.Load()
+		l := c.Leadership()
+		switch {
+		case !l.IsLeader || l.Term != term:
+			return false
+		case c.leaseUntil.Load() > int64(c.Now()):
+			return true
+		}
+		if timer == nil {
+			timer = time.After(timeout)
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer:
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// notifyLeaseChanged wakes the callers of AwaitLeadership.
+func (c *Coordinator) notifyLeaseChanged() {
+	next := make(chan struct{})
+	close(*c.leaseChanged.Swap(&next))
+}
+
 func (c *Coordinator) publishLeadership() {
 	now := c.Now()
-	c.leaseUntil.Store(int64(c.core.LeaseUntil()))
+	lease := int64(c.core.LeaseUntil())
+	renewed := c.leaseUntil.Swap(lease) != lease
 	c.currentAsOf.Store(int64(c.core.CurrentAsOf()))
 	old := c.Leadership()
 	next := Leadership{Term: c.core.Term(), ID: c.core.Leader()}
@@ -89,12 +124,14 @@
 			next.Since = old.Since
 		}
 	}
-	if next == old {
-		return
+	if next != old {
+		c.leadership.Store(&next)
+		c.options.Log.Info("leadership changed", zap.Uint64("term", next.Term),
+			zap.String("leader", next.ID), zap.Bool("leads", next.IsLeader))
+	}
+	if renewed || next != old {
+		c.notifyLeaseChanged()
 	}
-	c.leadership.Store(&next)
-	c.options.Log.Info("leadership changed", zap.Uint64("term", next.Term),
-		zap.String("leader", next.ID), zap.Bool("leads", next.IsLeader))
 }
 
 // MemberStatus is a member with its replication status, as the leader knows it.
--- a/internal/responder/guarantees_test.go
+++ b/internal/responder/guarantees_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -383,3 +384,50 @@
 		}
 	})
 }
+
+// TestLeaderWhoseLeaseLapsesForAMomentAnswers guards against a leader that answers its
+// callers with an unknown outcome while it is late, so that they call again at once.
+func TestLeaderWhoseLeaseLapsesForAMomentAnswers(t *testing.T) {
+	tests := map[string]struct {
+		method string
+		// answer has to be in the answer.
+		answer string
+	}{
+		"to a read":                   {method: messenger.MethodMembers, answer: `"id":"m0"`},
+		"to the question if it leads": {method: messenger.MethodLocate, answer: `"leads":true`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+				c.awaitLeader()
+				leader := c.leader()
+				c.setPartitioned(leader.id, true)
+				for leader.running().coordinator.ConfirmLeadership() {
+					time.Sleep(time.Millisecond)
+				}
+				time.AfterFunc(50*time.Millisecond, func() { c.setPartitioned(leader.id, false) })
+				var answer json.RawMessage
+				err := c.callMember(leader, "entry", tt.method, struct{}{}, &answer)
+				if err != nil || !strings.Contains(string(answer), tt.answer) {
+					t.Errorf("got %s (%v), want an answer with %s", answer, err, tt.answer)
+				}
+			})
+		})
+	}
+}
+
+func TestLeaderThatIsReplacedWhileItsAnswerWaitsRefuses(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		c.awaitLeader()
+		leader := c.leader()
+		c.setPartitioned(leader.id, true)
+		for leader.running().coordinator.ConfirmLeadership() {
+			time.Sleep(time.Millisecond)
+		}
+		err := c.callMember(leader, "entry", messenger.MethodMembers, struct{}{}, nil)
+		var refusal *modeler.RefusalError
+		if !errors.As(err, &refusal) || refusal.Code != modeler.CodeUnknownOutcome {
+			t.Errorf("got %v, want an unknown outcome", err)
+		}
+	})
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -103,6 +103,10 @@
 	return answer, err
 }
 
+// confirmTimeout bounds how long an answer waits until the leadership is confirmed. A
+// leader that reaches no quorum steps down sooner.
+const confirmTimeout = time.Second
+
 // onLeader wraps a method that only the leader handles. An answer, and a refusal
 // that depends on the state, is sent only once leadership is confirmed.
 func onLeader[P any](r *Responder, handle leaderMethod[P]) method {
@@ -120,7 +124,7 @@
 		if errors.As(err, &refusal) && !dependsOnState(refusal.Code) {
 			return nil, err
 		}
-		if !r.coordinator.ConfirmLeadership() {
+		if !r.coordinator.AwaitLeadership(ctx, leader.Term(), confirmTimeout) {
 			return nil, modeler.Refuse(modeler.CodeUnknownOutcome, "", "the leadership lease ended meanwhile")
 		}
 		return answer, err
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -95,11 +96,15 @@
 	return messenger.QueueTableAnswer{Version: table.Version, Raw: table.Raw}, nil
 }
 
+// locateWait bounds how long locate waits until the leadership is confirmed. Callers wait
+// for 250 ms.
+const locateWait = 150 * time.Millisecond
+
 // locate returns the members that this member knows of, and whether it is the confirmed leader.
-func (r *Responder) locate(context.Context, json.RawMessage) (any, error) {
+func (r *Responder) locate(ctx context.Context, _ json.RawMessage) (any, error) {
 	return messenger.LocateAnswer{
 		Cell:     r.coordinator.Identity().Cell,
-		IsLeader: r.coordinator.ConfirmLeadership(),
+		IsLeader: r.coordinator.AwaitLeadership(ctx, r.coordinator.Leadership().Term, locateWait),
 		Members:  r.coordinator.MemberList(),
 	}, nil
 }
