fix: starts are lost while the leader's lease has lapsed for a moment

Cause: a start whose leader was not confirmed was not sent, and counted as possibly sent: its worker was polled each 30 ms until a stop had made sure that it never ran. Change: a start waits until the lease is renewed. One that is not sent after 1 s is committed as not run at once, which is true since only this leader sends it. TestStartIsSentOnceALapsedLeaseIsRenewed fails before.

--- a/internal/controller/workflows.go
+++ b/internal/controller/workflows.go
@@ -21,6 +21,10 @@
 	RequestPermits func(ctx context.Context, address string, step adviser.StepName, workers []string) (adviser.Decision, error)
 }
 
+// confirmTimeout bounds how long a start waits until the leadership is confirmed. A
+// leader that reaches no quorum steps down sooner.
+const confirmTimeout = time.Second
+
 // workflowWorkers holds the leader's data on the workers that take their orders by
 // call.
 type workflowWorkers struct {
@@ -90,6 +94,9 @@
 			}
 			return confirmed
 		},
+		AwaitConfirmed: func(ctx context.Context) bool {
+			return l.coordinator.AwaitLeadership(ctx, l.term, confirmTimeout)
+		},
 		OnRunning: func(ctx context.Context, s modeler.Session, running []supervisor.Running) {
 			w.observeRunning(ctx, s.Key(), l.startedTasks(s, running))
 		},
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -261,6 +261,10 @@
 
 // start sends a registered start and records the outcome.
 func (l *link) start(ctx context.Context, o StartOrder) {
+	if !l.supervisor.options.AwaitConfirmed(ctx) {
+		l.commitNotRun(ctx, o.Attempt, "leadership is not confirmed")
+		return
+	}
 	l.mutex.Lock()
 	blocked := l.startsBlocked
 	o.Epoch = l.supervisor.options.Epoch
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -145,6 +145,9 @@
 	Propose func(ctx context.Context, c reducer.Command) (reducer.Result, error)
 	// Confirm reports whether this member surely still leads. Never nil.
 	Confirm func() bool
+	// AwaitConfirmed waits for a short time until this member surely leads, and reports
+	// whether it does. Never nil.
+	AwaitConfirmed func(ctx context.Context) bool
 	// OnRunning is called after each answered poll with the attempts that run on
 	// the session. Never nil.
 	OnRunning func(ctx context.Context, session modeler.Session, running []Running)
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -70,6 +70,36 @@
 	})
 }
 
+// TestStartIsSentOnceALapsedLeaseIsRenewed guards against starts that a leader, which is
+// late, neither sends nor plans again before a poll has shown that they never ran.
+func TestStartIsSentOnceALapsedLeaseIsRenewed(t *testing.T) {
+	tests := map[string]struct {
+		lapse time.Duration
+		runs  bool
+	}{
+		"after a moment":                        {lapse: 200 * time.Millisecond, runs: true},
+		"not after the time for which it waits": {lapse: 1500 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(t *testing.T, h *harness) {
+				time.Sleep(100 * time.Millisecond)
+				h.setIsLeader(false)
+				h.startNext()
+				time.Sleep(tt.lapse)
+				h.setIsLeader(true)
+				time.Sleep(50 * time.Millisecond)
+				if got := h.worker.runs(onlyTask); got != tt.runs {
+					t.Errorf("task runs: %t, want %t", got, tt.runs)
+				}
+				if got := h.task().HoldsResources(); got != tt.runs {
+					t.Errorf("task is started in the state: %t, want %t", got, tt.runs)
+				}
+			})
+		})
+	}
+}
+
 func TestLateStartNeverTakesEffect(t *testing.T) {
 	for _, delay := range []time.Duration{900 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
 		t.Run(delay.String(), func(t *testing.T) {
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -302,10 +302,14 @@
 			time.Sleep(10 * time.Millisecond)
 			return h.apply(c), nil
 		},
-		Confirm: func() bool {
-			h.mutex.Lock()
-			defer h.mutex.Unlock()
-			return h.isLeader
+		Confirm: h.isConfirmed,
+		AwaitConfirmed: func(ctx context.Context) bool {
+			for deadline := time.Now().Add(time.Second); !h.isConfirmed() && ctx.Err() == nil; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					return false
+				}
+			}
+			return h.isConfirmed()
 		},
 		OnRunning: func(context.Context, modeler.Session, []Running) {},
 		OnEnded:   func(reducer.AttemptEnd) {},
@@ -322,6 +326,12 @@
 	}
 }
 
+func (h *harness) isConfirmed() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.isLeader
+}
+
 // commitStart commits the next start of the task and returns its attempt.
 func (h *harness) commitStart() modeler.Attempt {
 	a := modeler.Attempt{Task: onlyTask, Session: onlySession}
