fix: a member whose loop was late takes others for silent though their messages wait

Cause: after a slow sync, or without the processor, the event loop picked between the due tick and the messages that had arrived meanwhile by chance, and started an election, or stepped down, before it had seen them. Change: queued messages are handled before the tick.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -258,6 +258,9 @@
 			}
 		case due := <-ticker.C:
 			c.recordLoopDelay(time.Since(due))
+			// After a delay of this loop, messages that wait here must count before their
+			// senders are taken for silent.
+			c.handleQueuedEvents()
 			c.core.Tick(c.Now())
 			c.checkMembership()
 			c.checkDisk()
@@ -283,6 +286,10 @@
 // they share one sync.
 func (c *Coordinator) handleEvents(first event) {
 	c.handleEvent(first)
+	c.handleQueuedEvents()
+}
+
+func (c *Coordinator) handleQueuedEvents() {
 	for range min(len(c.events), maxEventBatch) {
 		c.handleEvent(<-c.events)
 	}
