fix: workers are polled late while the leader's lease lapses again and again

A leader that is late withheld up to 3,500 polls a second. Cause: each worker's goroutine looked every 100 ms whether the lease was valid, and polled up to 100 ms later than it could. Change: it waits until the lease is renewed. TestWorkersArePolledOnceALapsedLeaseIsRenewed and TestWorkersThatWereTakenAwayDoNotLoadTheLeader fail before.

--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -37,6 +37,9 @@
 	// pollRetryDelay is the delay after an unanswered poll, after a failed commit,
 	// and while the leader's leadership is not confirmed.
 	pollRetryDelay = 100 * time.Millisecond
+	// lostPollDelay is the delay after an unanswered poll of a worker whose leases have
+	// expired. A worker that was taken away may never answer again.
+	lostPollDelay = time.Second
 	// stopRetryDelay is the minimum time between two stop calls for one attempt.
 	stopRetryDelay = 400 * time.Millisecond
 	// proposeTimeout bounds one commit.
@@ -125,7 +128,7 @@
 		if !ok {
 			return nil
 		}
-		if !l.supervisor.options.Confirm() {
+		if !l.supervisor.options.AwaitConfirmed(ctx) {
 			waitToRetry(ctx)
 			continue
 		}
@@ -142,10 +145,12 @@
 	return nil
 }
 
-func waitToRetry(ctx context.Context) {
+func waitToRetry(ctx context.Context) { wait(ctx, pollRetryDelay) }
+
+func wait(ctx context.Context, delay time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(pollRetryDelay):
+	case <-time.After(delay):
 	}
 }
 
@@ -194,13 +199,21 @@
 // handleNoAnswer marks the link as unresponsive. Once every lease on the worker
 // has surely expired, it commits the end of the attempts that the worker holds.
 func (l *link) handleNoAnswer(ctx context.Context, cause error) {
-	defer waitToRetry(ctx)
 	l.mutex.Lock()
 	l.unresponsive = true
 	l.mutex.Unlock()
-	if !l.haveLeasesExpired() || !l.supervisor.options.Confirm() {
+	if !l.haveLeasesExpired() {
+		waitToRetry(ctx)
 		return
 	}
+	if l.supervisor.options.Confirm() {
+		l.commitLapsed(ctx, cause)
+	}
+	wait(ctx, lostPollDelay)
+}
+
+// commitLapsed commits the end of the attempts that the worker holds.
+func (l *link) commitLapsed(ctx context.Context, cause error) {
 	state := l.supervisor.options.State()
 	session, ok := state.Sessions.Get(l.session.Key())
 	if !ok || len(session.Tasks) == 0 {
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// TestWorkersArePolledOnceALapsedLeaseIsRenewed guards against a late leader that wakes
+// for each worker again and again, and polls each of them later than it could.
+func TestWorkersArePolledOnceALapsedLeaseIsRenewed(t *testing.T) {
+	runSupervised(t, func(t *testing.T, h *harness) {
+		time.Sleep(100 * time.Millisecond)
+		h.setIsLeader(false)
+		time.Sleep(950 * time.Millisecond)
+		before := h.worker.pollCount()
+		h.setIsLeader(true)
+		time.Sleep(5 * time.Millisecond)
+		if got := h.worker.pollCount() - before; got != 1 {
+			t.Errorf("%d polls right after the lease is renewed, want 1", got)
+		}
+	})
+}
+
 func TestLateStartNeverTakesEffect(t *testing.T) {
 	for _, delay := range []time.Duration{900 * time.Millisecond, 2 * time.Second, 5 * time.Second} {
 		t.Run(delay.String(), func(t *testing.T) {
@@ -151,6 +167,26 @@
 	})
 }
 
+// TestWorkersThatWereTakenAwayDoNotLoadTheLeader checks that a worker whose leases have
+// expired is polled once a second, and used again soon after it answers.
+func TestWorkersThatWereTakenAwayDoNotLoadTheLeader(t *testing.T) {
+	runSupervised(t, func(t *testing.T, h *harness) {
+		time.Sleep(100 * time.Millisecond)
+		h.worker.set(func(f *fakeWorker) { f.refusing = true })
+		time.Sleep(2 * workerLease)
+		before := h.worker.pollCount()
+		time.Sleep(10 * time.Second)
+		if polls := h.worker.pollCount() - before; polls < 9 || polls > 11 {
+			t.Errorf("%d polls in 10 s, want one a second", polls)
+		}
+		h.worker.set(func(f *fakeWorker) { f.refusing = false })
+		time.Sleep(1100 * time.Millisecond)
+		if !h.supervisor.Reachability()(onlySession) {
+			t.Error("worker that answers again is not reachable after a second")
+		}
+	})
+}
+
 func TestNewLeaderReconcilesInheritedAttempt(t *testing.T) {
 	tests := map[string]struct {
 		sent, disconnected bool
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -33,6 +33,8 @@
 
 	// disconnected workers receive no calls and answer none.
 	disconnected bool
+	// refusing workers refuse polls at once, as a machine without the program does.
+	refusing bool
 	// loseStartAnswers makes starts take effect while their answers are lost.
 	loseStartAnswers bool
 	// full makes the worker refuse starts with ResultFull.
@@ -106,6 +108,12 @@
 	return len(f.ends)
 }
 
+func (f *fakeWorker) isRefusing() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.refusing
+}
+
 func (f *fakeWorker) isDisconnected() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -183,6 +191,9 @@
 	wait := time.NewTimer(o.Wait)
 	defer wait.Stop()
 	for {
+		if f.isRefusing() {
+			return PollResult{}, ErrNotSent
+		}
 		if f.isDisconnected() {
 			<-ctx.Done()
 			return PollResult{}, ctx.Err()
