fix: followers replace a leader that is only busy

Cause: a leader whose loop is 300 to 800 ms late sends its heartbeats as late as that; followers wait 300 to 600 ms. The successor takes over the same work, with all that has waited on top, and is late too. Change: a leader that is late asks for patience with its appends, twice its last delay and at most two election time-outs more, less with each tick that comes in time, and for one time-out right after its election. Followers start no election and grant no vote meanwhile. The lease is not extended, so that it still ends first.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -257,7 +257,9 @@
 				return err
 			}
 		case due := <-ticker.C:
-			c.recordLoopDelay(time.Since(due))
+			delay := time.Since(due)
+			c.recordLoopDelay(delay)
+			c.core.RecordDelay(delay)
 			// After a delay of this loop, messages that wait here must count before their
 			// senders are taken for silent.
 			c.handleQueuedEvents()
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -11,6 +11,7 @@
 	c.transferring = false
 	c.votes = nil
 	c.peers = nil
+	c.leaderPatience = 0
 	if leader != "" {
 		c.lastLeaderContact = c.now
 	}
@@ -19,7 +20,7 @@
 
 func (c *Core) resetElectionDeadline() {
 	jitter := time.Duration(c.random.Int64N(int64(c.config.ElectionTimeout)))
-	c.electionDeadline = c.now + c.config.ElectionTimeout + jitter
+	c.electionDeadline = c.now + c.electionTimeout() + jitter
 }
 
 // hasRecentLeader reports whether a leader may still hold a lease that relies
@@ -28,13 +29,13 @@
 	if c.role == RoleLeader {
 		return true
 	}
-	return c.now-c.lastLeaderContact < c.config.ElectionTimeout
+	return c.now-c.lastLeaderContact < c.electionTimeout()
 }
 
 // campaign requests votes from the other voters. With preVote it only asks
 // whether they would vote for this member, and leaves the term unchanged.
 func (c *Core) campaign(preVote bool) {
-	c.leader = ""
+	c.leader, c.leaderPatience = "", 0
 	c.votes = map[string]bool{c.config.ID: true}
 	c.resetElectionDeadline()
 	kind, term := MessageVote, c.hardState.Term+1
@@ -130,6 +131,8 @@
 	c.peers = map[string]*progress{}
 	c.updatePeers()
 	c.appendEntry(Entry{})
+	// The work that has waited for a leader arrives at once.
+	c.setPatience(max(c.patience, c.config.ElectionTimeout))
 	c.broadcastHeartbeat()
 }
 
@@ -139,7 +142,7 @@
 	const maxTimeoutsWithoutQuorum = 2
 	sinceQuorumContact := c.now - max(c.quorumAckedSentAt(), c.electedAt)
 	transferTimedOut := c.transferring && c.now >= c.transferDeadline
-	if transferTimedOut || sinceQuorumContact > maxTimeoutsWithoutQuorum*c.config.ElectionTimeout {
+	if transferTimedOut || sinceQuorumContact > maxTimeoutsWithoutQuorum*c.config.ElectionTimeout+c.patience {
 		c.becomeFollower(c.hardState.Term, "")
 		return
 	}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -132,6 +132,8 @@
 		Entries: entries,
 		Commit:  c.commitIndex,
 		SentAt:  c.now,
+
+		Patience: c.patience,
 	})
 	p.nextIndex = lastSent + 1
 }
@@ -140,22 +142,22 @@
 // snapshot that was not answered, it sends an append without entries instead.
 func (c *Core) sendSnapshot(id string, p *progress) {
 	if p.snapshotSentAt != 0 && c.now-p.snapshotSentAt < snapshotReplyTimeout {
-		c.sendBeforeSync(Message{Kind: MessageAppend, To: id, Index: p.matchIndex, LogTerm: c.termAt(p.matchIndex), SentAt: c.now})
+		c.sendBeforeSync(Message{
+			Kind: MessageAppend, To: id, Index: p.matchIndex, LogTerm: c.termAt(p.matchIndex), SentAt: c.now, Patience: c.patience,
+		})
 		return
 	}
 	p.snapshotSentAt = c.now
 	snapshot := c.snapshot
-	c.sendBeforeSync(Message{Kind: MessageSnapshot, To: id, Snapshot: &snapshot, SentAt: c.now})
+	c.sendBeforeSync(Message{Kind: MessageSnapshot, To: id, Snapshot: &snapshot, SentAt: c.now, Patience: c.patience})
 }
 
 func (c *Core) handleAppend(m Message) {
 	if c.role != RoleFollower {
 		c.becomeFollower(m.Term, m.From)
 	}
-	c.leader = m.From
-	c.lastLeaderContact = c.now
+	c.recordLeaderContact(m)
 	c.leaderCommit = m.Commit
-	c.resetElectionDeadline()
 	reply := Message{Kind: MessageAppendReply, To: m.From, SentAt: m.SentAt}
 	if m.Index < c.commitIndex {
 		reply.Index = c.commitIndex
@@ -175,6 +177,13 @@
 	c.sendAfterSync(reply)
 }
 
+func (c *Core) recordLeaderContact(m Message) {
+	c.leader = m.From
+	c.lastLeaderContact = c.now
+	c.leaderPatience = min(m.Patience, c.maxPatience())
+	c.resetElectionDeadline()
+}
+
 // mergeEntries appends the entries that the log does not hold. From the first
 // entry with another term on, it replaces the entries of the log.
 func (c *Core) mergeEntries(entries []Entry) {
@@ -203,9 +212,7 @@
 	if c.role != RoleFollower {
 		c.becomeFollower(m.Term, m.From)
 	}
-	c.leader = m.From
-	c.lastLeaderContact = c.now
-	c.resetElectionDeadline()
+	c.recordLeaderContact(m)
 	reply := Message{Kind: MessageSnapshotReply, To: m.From, SentAt: m.SentAt}
 	if m.Snapshot.Index > c.commitIndex {
 		c.installSnapshot(*m.Snapshot)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -85,7 +85,10 @@
 	Rejected uint64 `json:"rejected,omitempty"`
 	// SentAt is the time of the leader's clock when it sent the message; the
 	// reply repeats it.
-	SentAt   time.Duration `json:"sentAt,omitempty"`
+	SentAt time.Duration `json:"sentAt,omitempty"`
+	// Patience is by how much longer than usual the receiver of an append or a snapshot
+	// waits for the leader before it starts an election, or votes in one.
+	Patience time.Duration `json:"patience,omitempty"`
 	Snapshot *Snapshot     `json:"snapshot,omitempty"`
 	// Transferred is set in the vote requests of a leadership transfer: the
 	// leader has given up its lease for the candidate.
@@ -126,7 +129,8 @@
 	ID string
 	// ElectionTimeout is the minimum time without contact to a leader after
 	// which a follower starts an election; the actual timeout is random, up to
-	// twice that. Within ElectionTimeout of that contact it grants no vote.
+	// twice that. Within ElectionTimeout of that contact it grants no vote. A leader that
+	// is late may ask for up to twice ElectionTimeout more.
 	ElectionTimeout time.Duration
 	// HeartbeatInterval must be well below ElectionTimeout.
 	HeartbeatInterval time.Duration
@@ -189,6 +193,9 @@
 	electionDeadline time.Duration
 	// lastLeaderContact is when the member last had contact to a leader, or when it started.
 	lastLeaderContact time.Duration
+	// patience is what this member asks for as a leader, leaderPatience what the leader
+	// has asked for; zero if none is known. Both are at most maxPatience.
+	patience, leaderPatience time.Duration
 	// leaderCommit is the commit index that the leader stated last.
 	leaderCommit uint64
 	// currentAsOf is the latest contact to a leader up to which all that was committed
@@ -281,6 +288,7 @@
 // ignored. It sends heartbeats or starts an election where one is due.
 func (c *Core) Tick(now time.Duration) {
 	c.now = max(c.now, now)
+	c.decayPatience()
 	if c.role == RoleLeader {
 		c.tickLeader()
 		return
