--- a/internal/controller/loadreport.go
+++ b/internal/controller/loadreport.go
@@ -114,6 +114,6 @@
 	}
 	l.log.Log(level, "leader load", zap.Int("rounds", sum.rounds), zap.Duration("planTime", sum.planTime),
 		zap.Duration("commitTime", sum.commitTime), zap.Int("waitingSteps", sum.waitingSteps), zap.Int("starts", sum.starts),
-		zap.Int("polls", sum.polls), zap.Int("lostPolls", sum.lostPolls), zap.Any("calls", sum.calls), zap.Any("refusals", sum.refusals),
-		zap.Int("withheldOrders", sum.withheldOrders), zap.Duration("loopDelay", delay))
+		zap.Int("polls", sum.polls), zap.Int("lostPolls", sum.lostPolls), zap.Any("calls", sum.calls),
+		zap.Any("refusals", sum.refusals), zap.Int("withheldOrders", sum.withheldOrders), zap.Duration("loopDelay", delay))
 }
