fix: on a busy cell no learner becomes a voter, so that a lost disk is not made good

A member loses its disk at 23 s, and two others at 34 s; of five voters three are gone, as the first had not been replaced. Cause: a learner became a voter only while it was at most 100 entries behind the end of the log, and had answered within 300 ms. A busy leader commits some hundred entries a second, and its loop is 200 to 600 ms late, so that the answers to more than that are always on their way. Evidence: the new member had contact to the leader at 27.3 s, and no vote at 36 s. The lines on changes of the membership were dropped with others; they are warnings now, which are not. Change: the learner is compared with what was committed at the last check, 200 ms before, and a leader that is late waits longer for its answers.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,8 +31,8 @@
 	maxFeedBacklog = 8192
 	// tickInterval is how often the core is ticked.
 	tickInterval = 20 * time.Millisecond
-	// maxPromotionLag is the maximum number of entries that a learner may be
-	// behind to become a voter.
+	// maxPromotionLag is the maximum number of entries that a learner may be behind what
+	// was committed one membership check before, to become a voter.
 	maxPromotionLag = 100
 	// membershipCheckInterval is how often the leader checks the membership.
 	membershipCheckInterval = 200 * time.Millisecond
@@ -133,7 +133,9 @@
 	snapshotBytes         int
 	logBytesSinceSnapshot int
 	nextMembershipCheck   time.Duration
-	nextDiskCheck         time.Duration
+	// commitAtLastCheck is the commit index at the last membership check.
+	commitAtLastCheck uint64
+	nextDiskCheck     time.Duration
 }
 
 // pendingProposal is a proposal whose entry is in the log and not yet applied.
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -31,6 +31,7 @@
 	}
 	c.nextMembershipCheck = now + membershipCheckInterval
 	next, reason := repairMembership(c.memberHealths(), c.options.Voters)
+	c.commitAtLastCheck = c.core.Commit()
 	if reason == "" {
 		return
 	}
@@ -38,7 +39,7 @@
 		c.options.Log.Debug("membership change not proposed", zap.String("reason", reason), zap.Error(err))
 		return
 	}
-	c.options.Log.Info("membership change proposed", zap.String("reason", reason), zap.Any("members", next))
+	c.options.Log.Warn("membership change proposed", zap.String("reason", reason), zap.Any("members", next))
 }
 
 func (c *Coordinator) memberHealths() []memberHealth {
@@ -48,7 +49,8 @@
 		health := memberHealth{Member: m}
 		if m.ID != c.Identity().Member {
 			lag, active := c.core.Lag(m.ID)
-			health.ready = active && lag <= maxPromotionLag
+			// Answers to the latest entries are on their way, the more the busier the cell is.
+			health.ready = active && c.core.LastIndex()-lag+maxPromotionLag >= c.commitAtLastCheck
 			health.sinceLastContact = c.core.SinceLastContact(m.ID)
 		}
 		for _, later := range members[i+1:] {
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -144,7 +144,7 @@
 	if !ok || p.matchIndex == 0 {
 		return 0, false
 	}
-	return c.lastIndex() - p.matchIndex, c.now-p.ackedSentAt < c.config.ElectionTimeout
+	return c.lastIndex() - p.matchIndex, c.now-p.ackedSentAt < c.config.ElectionTimeout+c.patience
 }
 
 // SinceLastContact returns the time since the leader sent the latest message
