--- a/internal/replicator/core_test.go
+++ b/internal/replicator/core_test.go
@@ -113,6 +113,36 @@
 	}
 }
 
+func TestLostReplyToSnapshotDoesNotStopReplication(t *testing.T) {
+	t.Parallel()
+	core := elect(t, replicator.RestoredState{
+		HardState: replicator.HardState{Term: 1},
+		Snapshot:  replicator.Snapshot{Index: 5, Term: 1, Members: threeVoters},
+	})
+	reply := replicator.Message{Kind: replicator.MessageAppendReply, From: "m1", To: "m0", Term: core.Term()}
+	reject := reply
+	reject.Reject, reject.Rejected = true, 5
+	core.Step(4*electionTimeout, reject)
+	if sent := core.Ready().MessagesBeforeSync; len(sent) == 0 || sent[len(sent)-1].Kind != replicator.MessageSnapshot {
+		t.Fatalf("got %+v, want a snapshot for the member that is behind", sent)
+	}
+	core.Advance()
+	// The reply to the snapshot is lost; one to a later append shows that it has arrived.
+	reply.Index = 6
+	core.Step(4*electionTimeout, reply)
+	drainReady(core)
+	if _, err := core.Propose(nil); err != nil {
+		t.Fatal(err)
+	}
+	core.Flush()
+	for _, m := range core.Ready().MessagesBeforeSync {
+		if m.To == "m1" && len(m.Entries) == 1 {
+			return
+		}
+	}
+	t.Error("the member gets no new entry")
+}
+
 // The leader keeps few messages in flight to a member that does not answer, and
 // lets it catch up without sending the same entries repeatedly.
 func TestPausedMemberIsNotFlooded(t *testing.T) {
--- a/internal/responder/guarantees_test.go
+++ b/internal/responder/guarantees_test.go
@@ -194,12 +194,17 @@
 func TestDeposedLeaderReturnsNoStaleAnswer(t *testing.T) {
 	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
 		c.configure()
+		// The patience that a new leader asks for has ended by then, so that another one is
+		// elected before this one steps down.
+		time.Sleep(2 * time.Second)
 		old := c.leader()
 		c.setPartitioned(old.id, true)
 		accepted := make(chan struct{})
 		go func() {
 			defer close(accepted)
-			time.Sleep(time.Second)
+			for c.leader() == nil || c.leader() == old {
+				time.Sleep(time.Millisecond)
+			}
 			c.mustCall(messenger.MethodApply, messenger.ApplyCall{ChangeID: "next", Documents: []modeler.Document{{
 				Schema: 2, Kind: modeler.DocumentPolicy, Name: "toll-desk", Version: 1, Spec: json.RawMessage(`{"queueLimit":2}`),
 			}}}, nil)
