--- a/internal/controller/leaderstate.go
+++ b/internal/controller/leaderstate.go
@@ -12,6 +12,7 @@
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/planner"
 	"github.com/samphirewick/samphirewick/internal/reducer"
+	"github.com/samphirewick/samphirewick/internal/replicator"
 	"github.com/samphirewick/samphirewick/internal/supervisor"
 )
 
@@ -40,6 +41,9 @@
 	pushes       chan string
 
 	load leaderLoad
+	// reportedReplication is what earlier load reports cover. Only the controller that
+	// reports the load uses it.
+	reportedReplication replicator.Stats
 
 	// supervisor is nil until the workflow controller has started.
 	supervisor atomic.Pointer[supervisor.Supervisor]
@@ -77,6 +81,8 @@
 		workers:      map[string]lease{},
 		entries:      map[string]entryLease{},
 		pushes:       make(chan string, pushQueueSize),
+
+		reportedReplication: c.ReplicationStats(),
 	}
 }
 
--- a/internal/controller/loadreport.go
+++ b/internal/controller/loadreport.go
@@ -104,6 +104,9 @@
 // event loop was.
 func (l *LeaderState) reportLoad(context.Context) {
 	sum, delay := l.load.take(), l.coordinator.TakeLoopDelay()
+	replicated := l.coordinator.ReplicationStats()
+	replication := replicated.Since(l.reportedReplication)
+	l.reportedReplication = replicated
 	if l.options.Scope != nil {
 		l.options.Scope.Gauge("steps_waiting").Update(float64(sum.waitingSteps))
 		l.options.Scope.Gauge("loop_delay").Update(delay.Seconds())
@@ -115,5 +118,6 @@
 	l.log.Log(level, "leader load", zap.Int("rounds", sum.rounds), zap.Duration("planTime", sum.planTime),
 		zap.Duration("commitTime", sum.commitTime), zap.Int("waitingSteps", sum.waitingSteps), zap.Int("starts", sum.starts),
 		zap.Int("polls", sum.polls), zap.Int("lostPolls", sum.lostPolls), zap.Any("calls", sum.calls),
-		zap.Any("refusals", sum.refusals), zap.Int("withheldOrders", sum.withheldOrders), zap.Duration("loopDelay", delay))
+		zap.Any("refusals", sum.refusals), zap.Int("withheldOrders", sum.withheldOrders), zap.Duration("loopDelay", delay),
+		zap.Any("replication", replication))
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -42,6 +42,8 @@
 	// removeLearnerAfter is the time without contact to a learner after which it
 	// is removed.
 	removeLearnerAfter = 20 * time.Second
+	// missingVoterLogInterval is the minimum interval of the log line on a missing voter.
+	missingVoterLogInterval = 500 * time.Millisecond
 	// diskCheckInterval is how often the free space on the disk is checked.
 	diskCheckInterval = time.Second
 )
@@ -116,6 +118,8 @@
 	// nanoseconds.
 	loopDelay atomic.Int64
 	members   atomic.Pointer[[]MemberStatus]
+	// replicationStats are those of the core at the end of the last turn of the event loop.
+	replicationStats atomic.Pointer[replicator.Stats]
 	// identity is written by the event loop only.
 	identity atomic.Pointer[journaler.Identity]
 
@@ -134,8 +138,9 @@
 	logBytesSinceSnapshot int
 	nextMembershipCheck   time.Duration
 	// commitAtLastCheck is the commit index at the last membership check.
-	commitAtLastCheck uint64
-	nextDiskCheck     time.Duration
+	commitAtLastCheck   uint64
+	nextMissingVoterLog time.Duration
+	nextDiskCheck       time.Duration
 }
 
 // pendingProposal is a proposal whose entry is in the log and not yet applied.
@@ -205,6 +210,7 @@
 	leaseChanged := make(chan struct{})
 	c.leaseChanged.Store(&leaseChanged)
 	c.publishMembers()
+	c.replicationStats.Store(&replicator.Stats{})
 	return c, nil
 }
 
@@ -286,6 +292,15 @@
 // since the last call. It shows that the loop waits for the disk or the processor.
 func (c *Coordinator) TakeLoopDelay() time.Duration { return time.Duration(c.loopDelay.Swap(0)) }
 
+func (c *Coordinator) publishReplicationStats() {
+	if stats := c.core.Stats(); stats != *c.replicationStats.Load() {
+		c.replicationStats.Store(&stats)
+	}
+}
+
+// ReplicationStats returns what this member has sent as a leader since it started.
+func (c *Coordinator) ReplicationStats() replicator.Stats { return *c.replicationStats.Load() }
+
 // handleEvents handles the first event and the queued ones after it, so that
 // they share one sync.
 func (c *Coordinator) handleEvents(first event) {
@@ -361,6 +376,7 @@
 	}
 	c.publishLeadership()
 	c.publishMembers()
+	c.publishReplicationStats()
 	c.startSnapshot()
 	return nil
 }
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -30,18 +30,48 @@
 		return
 	}
 	c.nextMembershipCheck = now + membershipCheckInterval
-	next, reason := repairMembership(c.memberHealths(), c.options.Voters)
+	healths := c.memberHealths()
+	next, reason := repairMembership(healths, c.options.Voters)
 	c.commitAtLastCheck = c.core.Commit()
 	if reason == "" {
+		c.logMissingVoter(healths)
 		return
 	}
 	if _, err := c.core.ProposeMembers(next); err != nil {
-		c.options.Log.Debug("membership change not proposed", zap.String("reason", reason), zap.Error(err))
+		c.options.Log.Warn("membership change not proposed", zap.String("reason", reason), zap.Error(err))
 		return
 	}
 	c.options.Log.Warn("membership change proposed", zap.String("reason", reason), zap.Any("members", next))
 }
 
+// logMissingVoter logs the health of the members at most once per
+// missingVoterLogInterval while a voter is lost or missing and no member can take its place.
+func (c *Coordinator) logMissingVoter(healths []memberHealth) {
+	summary := summarize(healths)
+	isComplete := c.options.Voters == 0 || (summary.voters >= c.options.Voters && summary.lostVoter < 0)
+	now := c.Now()
+	if isComplete || now < c.nextMissingVoterLog {
+		return
+	}
+	c.nextMissingVoterLog = now + missingVoterLogInterval
+	type health struct {
+		ID                 string `json:"id"`
+		Voter              bool   `json:"voter"`
+		Lag                uint64 `json:"lag"`
+		Active             bool   `json:"active"`
+		Ready              bool   `json:"ready"`
+		Superseded         bool   `json:"superseded"`
+		SinceContactMillis int64  `json:"sinceContactMillis"`
+	}
+	logged := make([]health, len(healths))
+	for i, h := range healths {
+		lag, active := c.core.Lag(h.ID)
+		logged[i] = health{h.ID, h.Voter, lag, active, h.ready, h.superseded, h.sinceLastContact.Milliseconds()}
+	}
+	c.options.Log.Warn("no member can replace a missing voter",
+		zap.Uint64("commit", c.core.Commit()), zap.Any("members", logged))
+}
+
 func (c *Coordinator) memberHealths() []memberHealth {
 	members := c.core.Members()
 	healths := make([]memberHealth, len(members))
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -91,6 +91,9 @@
 	c.nextHeartbeat = c.now + c.config.HeartbeatInterval
 	for id, p := range c.sortedPeers() {
 		if c.now-max(p.ackedSentAt, c.electedAt) > probeAfterHeartbeats*c.config.HeartbeatInterval {
+			if !p.probing {
+				c.stats.Probes++
+			}
 			p.probing = true
 			p.nextIndex = p.matchIndex + 1
 		}
@@ -135,6 +138,7 @@
 
 		Patience: c.patience,
 	})
+	c.countEntries(p, previousIndex, lastSent)
 	p.nextIndex = lastSent + 1
 }
 
@@ -148,6 +152,7 @@
 		return
 	}
 	p.snapshotSentAt = c.now
+	c.stats.SentSnapshots++
 	snapshot := c.snapshot
 	c.sendBeforeSync(Message{Kind: MessageSnapshot, To: id, Snapshot: &snapshot, SentAt: c.now, Patience: c.patience})
 }
@@ -244,6 +249,7 @@
 		p.snapshotSentAt = 0
 	}
 	if m.Reject {
+		c.stats.Rejections++
 		c.handleReject(m, p)
 		return
 	}
@@ -269,6 +275,7 @@
 	if stale || p.snapshotSentAt != 0 {
 		return
 	}
+	c.stats.Probes++
 	p.probing = true
 	p.nextIndex = max(p.matchIndex, min(m.Rejected-1, m.Index)) + 1
 	c.sendAppend(m.From, p)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -176,6 +176,8 @@
 	// log. The member then gets appends without entries, one per heartbeat or
 	// reply.
 	probing bool
+	// highestSent is the highest index of an entry that the member was sent.
+	highestSent uint64
 }
 
 // Core is the consensus state of one member. It is not safe for concurrent use.
@@ -231,6 +233,7 @@
 	memberships   []membershipAt
 	peers         map[string]*progress
 
+	stats           Stats
 	pendingSnapshot *Snapshot
 	beforeSync      []Message
 	afterSync       []Message
