fix: a heartbeat overtakes the entries before it, so that they are sent again

Cause: a member handled each message of a connection in a goroutine of its own. While a message with many entries was decoded, the next heartbeat came first and was rejected, as the entries before it were missing; the leader went back and sent them once more. Under load messages were also refused, since they took the place of a call. Change: notifications, which only the replication uses, are handled in the order of their connection, and take no place of a call.

--- a/internal/transporter/server.go
+++ b/internal/transporter/server.go
@@ -22,7 +22,8 @@
 	handle Handler
 	// tls is nil if mutual TLS is off.
 	tls *tls.Config
-	// slots bounds the number of calls that are executed concurrently.
+	// slots bounds the number of calls that are executed concurrently. Notifications
+	// take none, as each connection has at most one at a time.
 	slots chan struct{}
 
 	mutex sync.Mutex
@@ -30,7 +31,8 @@
 }
 
 // NewServer returns a server that executes at most limit calls concurrently, and
-// refuses further calls as overloaded.
+// refuses further calls as overloaded. It executes the notifications of each connection
+// in the order in which they were sent, whatever the number of calls.
 func NewServer(handle Handler, tlsConfig *tls.Config, limit int) *Server {
 	return &Server{
 		handle: handle,
@@ -63,8 +65,9 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	handler := jsonrpc2.HandlerWithError(s.handleRequest)
-	rpc := jsonrpc2.NewConn(ctx, newStream(conn), jsonrpc2.AsyncHandler(handler), jsonrpc2.SetLogger(discardLogger{}))
+	calls := jsonrpc2.HandlerWithError(s.handleRequest)
+	handler := orderedHandler{calls: jsonrpc2.AsyncHandler(calls), notifications: calls}
+	rpc := jsonrpc2.NewConn(ctx, newStream(conn), handler, jsonrpc2.SetLogger(discardLogger{}))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.conns[rpc] = struct{}{}
@@ -72,6 +75,21 @@
 	go s.removeOnDisconnect(rpc)
 }
 
+// orderedHandler handles the notifications of a connection one after the other, in the
+// order in which they were sent, and calls concurrently.
+type orderedHandler struct {
+	calls, notifications jsonrpc2.Handler
+}
+
+// Handle implements jsonrpc2.Handler.
+func (h orderedHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	if request.Notif {
+		h.notifications.Handle(ctx, conn, request)
+		return
+	}
+	h.calls.Handle(ctx, conn, request)
+}
+
 // removeOnDisconnect waits until the connection is closed, and then removes it.
 // The server closes all connections when it stops, which ends this goroutine.
 func (s *Server) removeOnDisconnect(rpc *jsonrpc2.Conn) {
@@ -90,11 +108,13 @@
 }
 
 func (s *Server) handleRequest(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
-	select {
-	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
-	default:
-		return nil, toRPCError(modeler.Refuse(modeler.CodeOverloaded, "", "too many calls at once"))
+	if !request.Notif {
+		select {
+		case s.slots <- struct{}{}:
+			defer func() { <-s.slots }()
+		default:
+			return nil, toRPCError(modeler.Refuse(modeler.CodeOverloaded, "", "too many calls at once"))
+		}
 	}
 	var params json.RawMessage
 	if request.Params != nil {
