--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -113,7 +113,9 @@
 	// currentAsOf is when the state of a follower was surely current, in nanoseconds of
 	// the coordinator's clock; zero if it never was.
 	currentAsOf atomic.Int64
-	diskFull    atomic.Bool
+	// sinceLeaderContact is the core's SinceLeaderContact, in nanoseconds.
+	sinceLeaderContact atomic.Int64
+	diskFull           atomic.Bool
 	// loopDelay is the longest delay of a tick since TakeLoopDelay was last called, in
 	// nanoseconds.
 	loopDelay atomic.Int64
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -110,6 +110,7 @@
 	lease := int64(c.core.LeaseUntil())
 	renewed := c.leaseUntil.Swap(lease) != lease
 	c.currentAsOf.Store(int64(c.core.CurrentAsOf()))
+	c.sinceLeaderContact.Store(int64(c.core.SinceLeaderContact()))
 	old := c.Leadership()
 	next := Leadership{Term: c.core.Term(), ID: c.core.Leader()}
 	for _, m := range c.core.Members() {
@@ -202,6 +203,12 @@
 	return c.ConfirmLeadership() || (asOf > 0 && c.Now()-asOf <= age)
 }
 
+// SinceLeaderContact returns the time since this member last had contact to a leader, or
+// since its start if there was none. It is zero for a leader.
+func (c *Coordinator) SinceLeaderContact() time.Duration {
+	return time.Duration(c.sinceLeaderContact.Load())
+}
+
 // handleTransfer drops the leader lease before another member can be elected.
 func (c *Coordinator) handleTransfer() {
 	c.leaseUntil.Store(0)
