perf: the placement of a step looks at the failures of its tasks once

Cause: each rank of a worker for a task counted the failures of all tasks of the step on it, so that a step of n tasks took n times n times the workers. Change: the failures are counted once for each step and plan.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -158,11 +158,11 @@
 // free. It releases the capacity again if a gang does not fit as a whole.
 func (p *plan) chooseSessions(r *readyStep, permits adviser.Permits) []plannedStart {
 	need := r.step.CapacityNeed()
-	sessions := p.candidates(r, need, permits)
+	sessions, failures := p.candidates(r, need, permits), failuresByWorker(r)
 	var chosen []plannedStart
 	taken := map[*sessionCapacity]int{}
 	for _, index := range r.waiting {
-		best := p.bestSession(r, sessions, need, taken)
+		best := p.bestSession(r, sessions, failures, taken)
 		if best == nil {
 			break
 		}
@@ -246,12 +246,28 @@
 	return sessions
 }
 
+// failuresByWorker counts the failures of the step's tasks on each worker. It returns nil
+// if there are none.
+func failuresByWorker(r *readyStep) map[string]int {
+	var failures map[string]int
+	for _, task := range r.run.Tasks {
+		for _, worker := range task.FailedOn {
+			if failures == nil {
+				failures = map[string]int{}
+			}
+			failures[worker]++
+		}
+	}
+	return failures
+}
+
 // bestSession returns the session with the lowest rank for the next task of the
-// step, or nil if none has capacity. taken counts the tasks of the step that this
-// plan already placed, by session.
+// step, or nil if none has capacity. failures counts the failures of the step's tasks
+// by worker, and taken the tasks that this plan already placed by session.
 func (p *plan) bestSession(
-	r *readyStep, sessions []*sessionCapacity, need modeler.Resources, taken map[*sessionCapacity]int,
+	r *readyStep, sessions []*sessionCapacity, failures map[string]int, taken map[*sessionCapacity]int,
 ) *sessionCapacity {
+	need := r.step.CapacityNeed()
 	var best *sessionCapacity
 	bestRank := rank{}
 	for _, c := range sessions {
@@ -261,7 +277,7 @@
 		if r.step.MaxPerWorker > 0 && p.runningCount(r, c)+taken[c] >= r.step.MaxPerWorker {
 			continue
 		}
-		if rank := rankOf(r, c, need); best == nil || rank.compare(bestRank) < 0 {
+		if rank := rankOf(r, c, need, failures[c.session.Worker]); best == nil || rank.compare(bestRank) < 0 {
 			best, bestRank = c, rank
 		}
 	}
@@ -300,15 +316,10 @@
 	)
 }
 
-func rankOf(r *readyStep, c *sessionCapacity, need modeler.Resources) rank {
-	k := rank{}
-	for _, task := range r.run.Tasks {
-		for _, worker := range task.FailedOn {
-			if worker == c.session.Worker {
-				k.failures++
-			}
-		}
-	}
+// rankOf ranks the session for a task of the step, whose tasks have failed on its worker
+// the given number of times.
+func rankOf(r *readyStep, c *sessionCapacity, need modeler.Resources, failures int) rank {
+	k := rank{failures: failures}
 	if c.suspect {
 		k.suspect = 1
 	}
