--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// snapshotReplyTimeout is how long a leader waits for the reply to a
-	// snapshot before it sends the snapshot again.
+	// snapshotReplyTimeout is how long a leader waits for the reply to a snapshot, or to
+	// a later message, before it sends the snapshot again.
 	snapshotReplyTimeout = 5 * time.Second
 	// probeAfterHeartbeats is the number of heartbeat intervals without any reply
 	// after which a member is probed.
@@ -250,7 +250,8 @@
 	}
 	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
 	p.answeredAt = c.now
-	if m.Kind == MessageSnapshotReply {
+	if m.Kind == MessageSnapshotReply || m.SentAt >= p.snapshotSentAt+c.config.ElectionTimeout {
+		// The snapshot has arrived, or is lost, since messages arrive in order.
 		p.snapshotSentAt = 0
 	}
 	if m.Reject {
--- a/internal/replicator/slowmember_test.go
+++ b/internal/replicator/slowmember_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/samphirewick/samphirewick/internal/replicator"
 )
 
 // TestSlowMemberIsNotSentTheSameEntriesAgain checks that a member whose answers are late
@@ -46,3 +48,37 @@
 		})
 	}
 }
+
+// TestLostSnapshotIsSentAgainInTime checks that a member that has lost its disk does not
+// wait for a snapshot that was lost on the way, for longer than it may take to catch up.
+func TestLostSnapshotIsSentAgainInTime(t *testing.T) {
+	t.Parallel()
+	core := elect(t, replicator.RestoredState{
+		HardState: replicator.HardState{Term: 1},
+		Snapshot:  replicator.Snapshot{Index: 5, Term: 1, Members: threeVoters},
+	})
+	reply := replicator.Message{
+		Kind: replicator.MessageAppendReply, From: "m1", To: "m0", Term: core.Term(), Reject: true, Rejected: 5, SentAt: 4 * electionTimeout,
+	}
+	core.Step(4*electionTimeout, reply)
+	drainReady(core)
+	// The member answers the messages after the snapshot, and has not got it.
+	reply.Reject, reply.Rejected = false, 0
+	snapshotsAt := map[time.Duration]int{}
+	for now := 4 * electionTimeout; now < 7*electionTimeout; now += electionTimeout / 10 {
+		reply.SentAt = now
+		core.Step(now, reply)
+		core.Tick(now)
+		for core.HasReady() {
+			for _, m := range core.Ready().MessagesBeforeSync {
+				if m.To == "m1" && m.Kind == replicator.MessageSnapshot {
+					snapshotsAt[now]++
+				}
+			}
+			core.Advance()
+		}
+	}
+	if len(snapshotsAt) == 0 || len(snapshotsAt) > 3 {
+		t.Errorf("snapshots were sent again at %v, want some within three election timeouts, one a timeout at most", snapshotsAt)
+	}
+}
