--- a/internal/replicator/slowmember_test.go
+++ b/internal/replicator/slowmember_test.go
@@ -42,6 +42,10 @@
 			if stats := leader.core.Stats().Since(before); stats.RepeatedEntries > 0 || stats.Rejections > 0 {
 				t.Errorf("on a network that loses nothing: %+v, want no repeated entries and no rejections", stats)
 			}
+			// It is silent once at most: when the latency or the pause begins.
+			if probes := leader.core.Stats().Since(before).Probes; probes > 1 {
+				t.Errorf("the slow member was taken for silent %d times, want at most once", probes)
+			}
 			if slow.core.Commit() != leader.core.Commit() {
 				t.Errorf("the commit index of the slow member is %d, want %d", slow.core.Commit(), leader.core.Commit())
 			}
