--- a/internal/replicator/cell_test.go
+++ b/internal/replicator/cell_test.go
@@ -63,6 +63,9 @@
 	// extraLatency is by how much longer than others messages to a member take on an
 	// ordered network.
 	extraLatency map[string]time.Duration
+	// messageBudget is how many messages and entries a member reads in a step; zero for
+	// any number. The rest waits in its order.
+	messageBudget int
 	// sentEntries counts the entries sent to each member, lost ones included.
 	sentEntries map[string]int
 }
@@ -179,15 +182,17 @@
 func (c *cell) deliver() {
 	due := c.inFlight
 	c.inFlight = nil
+	read := map[string]int{}
 	for _, f := range due {
 		n := c.instanceByID(f.message.To)
 		if n == nil {
 			continue
 		}
-		if f.arrivesAt > c.now || n.pausedUntil > c.now {
+		if f.arrivesAt > c.now || n.pausedUntil > c.now || (c.messageBudget > 0 && read[n.id] >= c.messageBudget) {
 			c.inFlight = append(c.inFlight, f)
 			continue
 		}
+		read[n.id] += 1 + len(f.message.Entries)
 		n.core.Step(c.clock(n), f.message)
 		c.handleReady(n)
 	}
--- a/internal/replicator/slowmember_test.go
+++ b/internal/replicator/slowmember_test.go
@@ -53,6 +53,34 @@
 	}
 }
 
+// TestMemberCatchesUpWhileTheCellIsBusy checks that a member that was suspended catches up
+// although it can read only one and a half times as much as the cell commits.
+func TestMemberCatchesUpWhileTheCellIsBusy(t *testing.T) {
+	t.Parallel()
+	for _, seed := range seeds(t, 10) {
+		c := newCell(t, seed, 5)
+		c.lossPercent, c.ordered = 0, true
+		leader := c.awaitLeader()
+		suspended := c.instances[0]
+		if suspended == leader {
+			suspended = c.instances[1]
+		}
+		c.messageBudget = 6
+		suspended.pausedUntil = c.now + 2*time.Second
+		for range 600 {
+			c.propose()
+			c.propose()
+			c.run(stepInterval)
+		}
+		const maxBehind = 50
+		if commit := suspended.core.Commit(); commit+maxBehind < leader.core.Commit() {
+			t.Errorf("seed %d: 4 s after the suspension the member is at %d, the leader at %d", seed, commit, leader.core.Commit())
+		}
+		c.messageBudget = 0
+		c.healAndVerify()
+	}
+}
+
 // TestLostSnapshotIsSentAgainInTime checks that a member that has lost its disk does not
 // wait for a snapshot that was lost on the way, for longer than it may take to catch up.
 func TestLostSnapshotIsSentAgainInTime(t *testing.T) {
