--- a/internal/replicator/slowmember_test.go
+++ b/internal/replicator/slowmember_test.go
@@ -90,7 +90,8 @@
 		Snapshot:  replicator.Snapshot{Index: 5, Term: 1, Members: threeVoters},
 	})
 	reply := replicator.Message{
-		Kind: replicator.MessageAppendReply, From: "m1", To: "m0", Term: core.Term(), Reject: true, Rejected: 5, SentAt: 4 * electionTimeout,
+		Kind: replicator.MessageAppendReply, From: "m1", To: "m0", Term: core.Term(),
+		Reject: true, Rejected: 5, SentAt: 4 * electionTimeout,
 	}
 	core.Step(4*electionTimeout, reply)
 	drainReady(core)
