--- a/cmd/samphirewick-control/internal/commander/joiner.go
+++ b/cmd/samphirewick-control/internal/commander/joiner.go
@@ -28,8 +28,9 @@
 	isMember func() bool
 	// sinceContact returns the time since the process last had contact to a leader.
 	sinceContact func() time.Duration
-	// ask asks the leader to add the process. The leader does nothing if it is a member.
-	ask func(ctx context.Context) error
+	// ask asks the leader to add the process, and logs the answer. The leader does nothing
+	// if it is a member.
+	ask func(ctx context.Context)
 }
 
 // run asks whenever the process is not a member, or may have been removed: a removed
@@ -47,7 +48,7 @@
 			continue
 		}
 		joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		_ = j.ask(joinCtx)
+		j.ask(joinCtx)
 		cancel()
 	}
 }
@@ -64,12 +65,11 @@
 	return joiner{
 		isMember:     func() bool { return slices.ContainsFunc(m.coordinator.MemberList(), isSelf) },
 		sinceContact: m.coordinator.SinceLeaderContact,
-		ask: func(ctx context.Context) error {
+		ask: func(ctx context.Context) {
 			var answer struct{}
 			call := messenger.JoinCall{ID: id, Address: m.settings.Member.Address}
 			err := m.control.Call(ctx, messenger.MethodJoin, call, &answer)
 			m.log.Info("asked to join", zap.String("member", id), zap.Error(err))
-			return err
 		},
 	}.run(ctx)
 }
--- a/cmd/samphirewick-control/internal/commander/joiner_test.go
+++ b/cmd/samphirewick-control/internal/commander/joiner_test.go
@@ -34,7 +34,7 @@
 				j := joiner{
 					isMember:     func() bool { return tt.isMember },
 					sinceContact: func() time.Duration { return max(0, time.Since(start)-tt.contact) },
-					ask:          func(context.Context) error { asked++; return nil },
+					ask:          func(context.Context) { asked++ },
 				}
 				if err := j.run(ctx); err != nil || (asked > 0) != tt.asks {
 					t.Errorf("asked %d times with error %v, want any: %t", asked, err, tt.asks)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,7 +15,6 @@
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/reducer"
 	"github.com/samphirewick/samphirewick/internal/replicator"
-	"github.com/samphirewick/samphirewick/internal/viewer"
 	"github.com/samphirewick/samphirewick/internal/watcher"
 )
 
@@ -283,26 +282,6 @@
 	}
 }
 
-// recordLoopDelay records by how much a tick was late. Only the event loop calls it.
-func (c *Coordinator) recordLoopDelay(delay time.Duration) {
-	if int64(delay) > c.loopDelay.Load() {
-		c.loopDelay.Store(int64(delay))
-	}
-}
-
-// TakeLoopDelay returns the longest time for which a tick of the event loop was late
-// since the last call. It shows that the loop waits for the disk or the processor.
-func (c *Coordinator) TakeLoopDelay() time.Duration { return time.Duration(c.loopDelay.Swap(0)) }
-
-func (c *Coordinator) publishReplicationStats() {
-	if stats := c.core.Stats(); stats != *c.replicationStats.Load() {
-		c.replicationStats.Store(&stats)
-	}
-}
-
-// ReplicationStats returns what this member has sent as a leader since it started.
-func (c *Coordinator) ReplicationStats() replicator.Stats { return *c.replicationStats.Load() }
-
 // handleEvents handles the first event and the queued ones after it, so that
 // they share one sync.
 func (c *Coordinator) handleEvents(first event) {
@@ -400,65 +379,3 @@
 	}
 	c.sendToUnknownMembers(messages)
 }
-
-func (c *Coordinator) apply(r replicator.Ready) error {
-	if r.Snapshot != nil {
-		state, err := reducer.DecodeState(r.Snapshot.Data)
-		if err != nil {
-			return err
-		}
-		c.state.Store(&state)
-		c.lastSnapshotIndex = r.Snapshot.Index
-		c.snapshotBytes, c.logBytesSinceSnapshot = len(r.Snapshot.Data), 0
-		c.ViewFeed.Reset(state.Revision)
-		c.TaskFeed.Reset(state.Revision)
-	}
-	for _, e := range r.Committed {
-		if err := c.applyEntry(e); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (c *Coordinator) applyEntry(e replicator.Entry) error {
-	c.logBytesSinceSnapshot += len(e.Data)
-	before := c.State()
-	after := before
-	after.Revision = e.Index
-	var result reducer.Result
-	var changes []reducer.ChangedRecord
-	if len(e.Data) > 0 {
-		command, err := reducer.DecodeCommand(e.Data)
-		if err != nil {
-			return err
-		}
-		after, result, changes = reducer.Apply(before, e.Index, command)
-	}
-	result.Revision = e.Index
-	c.state.Store(&after)
-	c.ViewFeed.Publish(e.Index, viewer.RelevantChanges(before, after, changes))
-	c.TaskFeed.Publish(e.Index, changes)
-	proposed, ok := c.pending[e.Index]
-	if !ok {
-		return nil
-	}
-	delete(c.pending, e.Index)
-	if proposed.term != e.Term {
-		proposed.reply <- proposalResult{err: c.notLeaderRefusal("another leader took over")}
-		return nil
-	}
-	proposed.reply <- proposalResult{result: result}
-	return nil
-}
-
-func (c *Coordinator) failPending(err error) {
-	for index, waiting := range c.pending {
-		waiting.reply <- proposalResult{err: err}
-		delete(c.pending, index)
-	}
-}
-
-func (c *Coordinator) notLeaderRefusal(reason string) *modeler.RefusalError {
-	return modeler.Refuse(modeler.CodeNotLeader, c.Leadership().Address, "%s", reason)
-}
