fix: renewed tickets raise the share of workers that requests expect to be permitted

More generally work waits for permits. Cause: the expected share of permitted workers counted renewals, all of which are permitted, and each small request as much as a large one. A request names as many workers as should suffice by that share. Change: first decisions on a worker count only, each with the same weight, over some 200 workers. TestRenewedTicketsDoNotRaiseTheGrantRate fails before: 0.91, 0.59 and 0.64 instead of 0.25. TestGrantRateFollowsDecisions records decisions instead of rates, with the same bounds.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -7,6 +7,7 @@
 	"context"
 	"iter"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -43,8 +44,10 @@
 	// initialGrantRate is the expected share of permitted workers before the first
 	// decision for a queue.
 	initialGrantRate = 0.5
-	// learningRate is the weight of one decision in the moving average of the grant rate.
-	learningRate = 0.1
+	// grantWindow is the number of workers over which the grant rate is averaged, and
+	// initialGrantWeight how many of them the initial rate counts for.
+	grantWindow        = 200.0
+	initialGrantWeight = 10.0
 	// minGrantRate bounds the grant rate from below.
 	minGrantRate = 0.1
 )
@@ -112,8 +115,21 @@
 	// stepsByWorkflow holds the keys of records, by workflow.
 	stepsByWorkflow map[string][]StepName
 	entries         map[string]*entry
-	// grantRates are the moving averages of the share of permitted workers, by queue.
-	grantRates map[string]float64
+	// grantCounts count the decisions on workers, by queue.
+	grantCounts map[string]grantCount
+}
+
+// grantCount counts first decisions on workers, the older ones with less weight.
+type grantCount struct {
+	granted, asked float64
+}
+
+func (g grantCount) rate() float64 { return g.granted / g.asked }
+
+// withDecision returns g with the first decisions on a number of workers, some of them granted.
+func (g grantCount) withDecision(granted, asked int) grantCount {
+	weight := math.Exp(-float64(asked) / grantWindow)
+	return grantCount{granted: weight*g.granted + float64(granted), asked: weight*g.asked + float64(asked)}
 }
 
 // New returns an adviser without any decisions.
@@ -123,7 +139,7 @@
 		records:         map[StepName]*stepRecord{},
 		stepsByWorkflow: map[string][]StepName{},
 		entries:         map[string]*entry{},
-		grantRates:      map[string]float64{},
+		grantCounts:     map[string]grantCount{},
 	}
 }
 
@@ -225,16 +241,20 @@
 	delete(a.stepsByWorkflow, workflow)
 }
 
-// GrantRate returns the expected share of permitted workers among those that a
-// request for the queue names, at least minGrantRate.
+// GrantRate returns the expected share of permitted workers among those without a
+// decision that a request for the queue names, at least minGrantRate.
 func (a *Adviser) GrantRate(queue string) float64 {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	rate, ok := a.grantRates[queue]
-	if !ok {
-		rate = initialGrantRate
+	return max(minGrantRate, a.grantCount(queue).rate())
+}
+
+// grantCount returns the count of the queue. The caller holds the mutex.
+func (a *Adviser) grantCount(queue string) grantCount {
+	if count, ok := a.grantCounts[queue]; ok {
+		return count
 	}
-	return max(minGrantRate, rate)
+	return grantCount{granted: initialGrantRate * initialGrantWeight, asked: initialGrantWeight}
 }
 
 // CallClass decides which entries may take a call.
@@ -365,10 +385,11 @@
 		e.avoidUntil = now + entryBackoff
 		return
 	}
-	if ok {
-		r.decisions = withDecisions(r.decisions, sessions, decision, now+decision.Validity-ticketMargin)
+	if !ok {
+		return
 	}
-	a.updateGrantRate(queue.Name, len(decision.Tickets), len(sessions))
+	a.updateGrantRate(queue.Name, r.decisions, sessions, decision)
+	r.decisions = withDecisions(r.decisions, sessions, decision, now+decision.Validity-ticketMargin)
 }
 
 // withDecisions returns a copy of the decisions, extended by the new decision on the
@@ -385,13 +406,22 @@
 	return next
 }
 
-func (a *Adviser) updateGrantRate(queue string, granted, requested int) {
-	if requested == 0 {
-		return
+// updateGrantRate counts the decision on the sessions that earlier decisions do not cover.
+// The others only renew tickets, and are permitted by then. The caller holds the mutex.
+func (a *Adviser) updateGrantRate(
+	queue string, earlier map[string]sessionDecision, sessions []modeler.Session, decision Decision,
+) {
+	granted, asked := 0, 0
+	for _, s := range sessions {
+		if _, ok := earlier[s.Key()]; ok {
+			continue
+		}
+		asked++
+		if _, ok := decision.Tickets[s.Worker]; ok {
+			granted++
+		}
 	}
-	rate, ok := a.grantRates[queue]
-	if !ok {
-		rate = initialGrantRate
+	if asked > 0 {
+		a.grantCounts[queue] = a.grantCount(queue).withDecision(granted, asked)
 	}
-	a.grantRates[queue] = rate + learningRate*(float64(granted)/float64(requested)-rate)
 }
--- a/internal/adviser/adviser_test.go
+++ b/internal/adviser/adviser_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -170,24 +171,88 @@
 	})
 }
 
+// decide makes the adviser record a decision on the workers, of which those named p are
+// permitted, for the step of a workflow.
+func decide(a *Adviser, workflow string, workers ...string) {
+	step, tickets := StepName{Workflow: workflow}, map[string]string{}
+	for _, w := range workers {
+		if w[0] == 'p' {
+			tickets[w] = "t-" + w
+		}
+	}
+	if _, ok := a.records[step]; !ok {
+		a.records[step] = &stepRecord{}
+	}
+	a.entries["e0"] = &entry{inFlight: 1}
+	a.recordDecision(testQueue, step, "e0", sessionsOf(workers...), Decision{Tickets: tickets, Validity: time.Second}, nil)
+}
+
+func workersOf(permitted, denied int) []string {
+	var workers []string
+	for i := range permitted {
+		workers = append(workers, fmt.Sprint("p", i))
+	}
+	for i := range denied {
+		workers = append(workers, fmt.Sprint("d", i))
+	}
+	return workers
+}
+
 func TestGrantRateFollowsDecisions(t *testing.T) {
 	t.Parallel()
 	a, _ := newAdviser("e0")
 	before := a.GrantRate("q")
-	for range 50 {
-		a.updateGrantRate("q", 2, 10)
+	for i := range 50 {
+		decide(a, fmt.Sprint("fifth", i), workersOf(2, 8)...)
 	}
 	if after := a.GrantRate("q"); after >= before || after < 0.2 {
 		t.Errorf("grant rate is %.2f after decisions at a fifth, and was %.2f before", after, before)
 	}
-	for range 100 {
-		a.updateGrantRate("q", 0, 10)
+	for i := range 100 {
+		decide(a, fmt.Sprint("none", i), workersOf(0, 10)...)
 	}
 	if rate := a.GrantRate("q"); rate != minGrantRate {
 		t.Errorf("grant rate is %.2f after denials only, want %.2f", rate, minGrantRate)
 	}
 }
 
+// TestRenewedTicketsDoNotRaiseTheGrantRate checks that requests for gangs name as many
+// workers as they need: with a rate that is too high they are asked for again and again.
+func TestRenewedTicketsDoNotRaiseTheGrantRate(t *testing.T) {
+	t.Parallel()
+	const share = 0.25
+	tests := map[string]func(a *Adviser, workflow string){
+		"first decisions only": func(a *Adviser, workflow string) { decide(a, workflow, workersOf(10, 30)...) },
+		"and renewals": func(a *Adviser, workflow string) {
+			decide(a, workflow, workersOf(10, 30)...)
+			for range 5 {
+				decide(a, workflow, workersOf(10, 0)...)
+			}
+		},
+		"and renewals with a few more workers": func(a *Adviser, workflow string) {
+			decide(a, workflow, workersOf(9, 29)...)
+			decide(a, workflow, append(workersOf(10, 0), "d29")...)
+		},
+		"and small requests that are all permitted": func(a *Adviser, workflow string) {
+			decide(a, workflow, workersOf(9, 30)...)
+			decide(a, workflow, "p9")
+		},
+	}
+	for name, decideAll := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, _ := newAdviser("e0")
+			for i := range 40 {
+				decideAll(a, fmt.Sprint("gang", i))
+			}
+			const margin = 0.05
+			if rate := a.GrantRate("q"); rate < share-margin || rate > share+margin {
+				t.Errorf("grant rate is %.2f, want %.2f within %.2f", rate, share, margin)
+			}
+		})
+	}
+}
+
 func TestTicketThatExpiresSoonIsRenewable(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
