test: an empty member doesn't catch up, and the log grows, where entries are large

In another play such a member ended with its memory over the limit while it read them.

The simulated cell now has members that read a bounded number of bytes a step and lose a message that takes longer than the transport's time-out, and it keeps messages that wait in order: those sent meanwhile overtook them.

--- a/internal/coordinator/snapshot_test.go
+++ b/internal/coordinator/snapshot_test.go
@@ -14,6 +14,13 @@
 		"enough entries and no previous snapshot": {revision: 200, logBytes: 5000, want: true},
 		"a log shorter than the snapshot":         {revision: 200, snapshotBytes: 5001, logBytes: 5000},
 		"a log as long as the snapshot":           {revision: 200, snapshotBytes: 5000, logBytes: 5000, want: true},
+		"few large entries": {
+			revision: 110, snapshotBytes: 1 << 20, logBytes: 32 << 20, want: true,
+		},
+		"few large entries and no previous snapshot": {revision: 110, logBytes: 32 << 20, want: true},
+		"few large entries and a snapshot as large": {
+			revision: 110, snapshotBytes: 32 << 20, logBytes: 32 << 20,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/replicator/cell_test.go
+++ b/internal/replicator/cell_test.go
@@ -24,6 +24,45 @@
 type inFlightMessage struct {
 	message   replicator.Message
 	arrivesAt time.Duration
+	// unread is how many bytes of it the receiver has not read yet, and readSince when it
+	// began to; both are used only on a cell with bytesPerStep.
+	unread    int
+	readSince time.Duration
+}
+
+const (
+	// messageOverhead is roughly the size of a message without entries, in bytes.
+	messageOverhead = 200
+	// sendTimeout is how long a message may take to be read, as the transport has it.
+	sendTimeout = 2 * time.Second
+)
+
+func messageSize(m replicator.Message) int {
+	size := messageOverhead
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
+
+// isRead reads as much of the message as the budget allows, and reports whether that was
+// all of it.
+func (f *inFlightMessage) isRead(now time.Duration, budget *int) bool {
+	if f.readSince == 0 && *budget > 0 {
+		f.readSince, f.unread = now, messageSize(f.message)
+	}
+	read := min(f.unread, *budget)
+	f.unread -= read
+	*budget -= read
+	return f.readSince > 0 && f.unread == 0
+}
+
+// isLost reports whether the message took longer than sendTimeout to be read.
+func (f *inFlightMessage) isLost(now time.Duration) bool {
+	return f.readSince > 0 && now-f.readSince > sendTimeout
 }
 
 // instance is one member with its disk and journal.
@@ -66,11 +105,24 @@
 	// messageBudget is how many messages and entries a member reads in a step; zero for
 	// any number. The rest waits in its order.
 	messageBudget int
+	// bytesPerStep is how many bytes a member reads in a step; zero for any number. A
+	// message that takes longer than sendTimeout is lost.
+	bytesPerStep int
+	// maxBatch is the maximum number of entries in a message.
+	maxBatch int
 	// sentEntries counts the entries sent to each member, lost ones included.
 	sentEntries map[string]int
 }
 
+// smallBatch makes messages of few entries, so that a cell sends many.
+const smallBatch = 16
+
 func newCell(t *testing.T, seed uint64, size int) *cell {
+	t.Helper()
+	return newCellOf(t, seed, size, smallBatch)
+}
+
+func newCellOf(t *testing.T, seed uint64, size, maxBatch int) *cell {
 	t.Helper()
 	c := &cell{
 		t:            t,
@@ -80,6 +132,7 @@
 		leaders:      map[uint64]string{},
 		acknowledged: map[string]bool{},
 		lossPercent:  5,
+		maxBatch:     maxBatch,
 
 		sentEntries: map[string]int{},
 	}
@@ -117,7 +170,7 @@
 		ElectionTimeout:   electionTimeout,
 		HeartbeatInterval: electionTimeout / 5,
 		LeaseDuration:     electionTimeout * 8 / 10,
-		MaxBatch:          16,
+		MaxBatch:          c.maxBatch,
 		Seed:              c.random.Uint64(),
 	}, restored, c.clock(n))
 }
@@ -136,7 +189,9 @@
 			continue
 		}
 		if c.ordered {
-			c.inFlight = append(c.inFlight, inFlightMessage{copyMessage(c.t, m), c.now + stepInterval + c.extraLatency[m.To]})
+			c.inFlight = append(c.inFlight, inFlightMessage{
+				message: copyMessage(c.t, m), arrivesAt: c.now + stepInterval + c.extraLatency[m.To],
+			})
 			continue
 		}
 		copies := 1
@@ -145,7 +200,7 @@
 		}
 		for range copies {
 			delay := time.Duration(1+c.random.IntN(60)) * time.Millisecond
-			c.inFlight = append(c.inFlight, inFlightMessage{copyMessage(c.t, m), c.now + delay})
+			c.inFlight = append(c.inFlight, inFlightMessage{message: copyMessage(c.t, m), arrivesAt: c.now + delay})
 		}
 	}
 }
@@ -182,20 +237,34 @@
 func (c *cell) deliver() {
 	due := c.inFlight
 	c.inFlight = nil
+	// waiting messages stay ahead of those that are sent meanwhile.
+	var waiting []inFlightMessage
 	read := map[string]int{}
+	budgets := map[string]*int{}
 	for _, f := range due {
 		n := c.instanceByID(f.message.To)
 		if n == nil {
 			continue
 		}
+		if budgets[n.id] == nil {
+			budget := c.bytesPerStep
+			budgets[n.id] = &budget
+		}
 		if f.arrivesAt > c.now || n.pausedUntil > c.now || (c.messageBudget > 0 && read[n.id] >= c.messageBudget) {
-			c.inFlight = append(c.inFlight, f)
+			waiting = append(waiting, f)
+			continue
+		}
+		if c.bytesPerStep > 0 && !f.isRead(c.now, budgets[n.id]) {
+			if !f.isLost(c.now) {
+				waiting = append(waiting, f)
+			}
 			continue
 		}
 		read[n.id] += 1 + len(f.message.Entries)
 		n.core.Step(c.clock(n), f.message)
 		c.handleReady(n)
 	}
+	c.inFlight = append(waiting, c.inFlight...)
 }
 
 func (c *cell) instanceByID(id string) *instance {
@@ -271,13 +340,20 @@
 	return nil
 }
 
-func (c *cell) propose() {
+func (c *cell) propose() { c.proposeBytes(0) }
+
+// proposeBytes proposes an entry that is at least as long as size.
+func (c *cell) proposeBytes(size int) {
 	for _, n := range c.instances {
 		if n.core.Role() != replicator.RoleLeader || n.pausedUntil > c.now {
 			continue
 		}
 		c.proposed++
-		if _, err := n.core.Propose(json.RawMessage(strconv.Itoa(c.proposed))); err == nil {
+		data := strconv.Itoa(c.proposed)
+		if size > 0 {
+			data = fmt.Sprintf(`"%0*d"`, size, c.proposed)
+		}
+		if _, err := n.core.Propose(json.RawMessage(data)); err == nil {
 			n.core.Flush()
 			c.handleReady(n)
 		}
