fix: a member with an empty disk never catches up where entries are large

Cause: replication bounds a message by its number of entries, 512, and what is on its way to a member by 4,096 entries, whatever their size. A change of a large configuration is an entry of 0.36 MB, so that one message was tens of megabytes: longer than the transport gives it to arrive, or than the receiver has memory. It was lost, sent again, and the member never became a voter.

Change: a message holds at most 128 KiB of entries unless it holds a single one, and a member has at most 512 KiB of them on their way. New entries are sent until that window is full, no longer one message at a time.

--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -16,6 +16,13 @@
 	// maxInFlightEntries is how many entries above its matchIndex a member may
 	// have been sent before the leader sends it no more of them.
 	maxInFlightEntries = 4096
+	// maxBatchBytes bounds the entries in one message, in bytes, unless it holds a single
+	// one. A member that reads 1 MB/s answers each within probeAfterHeartbeats.
+	maxBatchBytes = 128 << 10
+	// maxInFlightBytes is how many bytes of entries above its matchIndex a member may have
+	// been sent before the leader sends it no more of them. A heartbeat waits behind them:
+	// for 20 ms on a link of 200 Mbit/s.
+	maxInFlightBytes = 4 * maxBatchBytes
 )
 
 func (c *Core) lastIndex() uint64 {
@@ -105,13 +112,13 @@
 	p.nextIndex = nextIndex
 }
 
-// sendNewEntries sends entries that the member has not been sent yet, unless it
-// is probed, awaits a snapshot or has too many unacknowledged entries.
+// sendNewEntries sends the entries that the member has not been sent yet, until it has
+// too many unacknowledged ones. It sends none while the member is probed or awaits a
+// snapshot.
 func (c *Core) sendNewEntries(id string, p *progress) {
-	if p.probing || p.snapshotSentAt != 0 || p.nextIndex > c.lastIndex() || p.nextIndex-p.matchIndex > maxInFlightEntries {
-		return
+	for !p.probing && p.snapshotSentAt == 0 && p.nextIndex <= c.lastIndex() && !c.isWindowFull(p) {
+		c.sendAppend(id, p)
 	}
-	c.sendAppend(id, p)
 }
 
 // sendAppend sends an append, or a snapshot if the log no longer holds the
@@ -124,8 +131,8 @@
 	}
 	previousIndex := p.nextIndex - 1
 	lastSent := previousIndex
-	if !p.probing && p.nextIndex-p.matchIndex <= maxInFlightEntries {
-		lastSent = max(lastSent, min(c.lastIndex(), previousIndex+uint64(c.config.MaxBatch)))
+	if !p.probing && !c.isWindowFull(p) {
+		lastSent = c.lastOfBatch(previousIndex)
 	}
 	var entries []Entry
 	if lastSent > previousIndex {
@@ -161,6 +168,33 @@
 	c.sendBeforeSync(Message{Kind: MessageSnapshot, To: id, Snapshot: &snapshot, SentAt: c.now, Patience: c.patience})
 }
 
+// isWindowFull reports whether the member has so many unacknowledged entries that it is
+// sent no more.
+func (c *Core) isWindowFull(p *progress) bool {
+	if p.nextIndex-p.matchIndex > maxInFlightEntries {
+		return true
+	}
+	inFlight := 0
+	for index := max(p.matchIndex, c.compactedIndex) + 1; index < p.nextIndex; index++ {
+		inFlight += len(c.entries[index-c.compactedIndex-1].Data)
+	}
+	return inFlight >= maxInFlightBytes
+}
+
+// lastOfBatch returns the index of the last entry that fits into one message after the
+// entry at previousIndex. A message holds at least one entry, if there is one.
+func (c *Core) lastOfBatch(previousIndex uint64) uint64 {
+	last := max(previousIndex, min(c.lastIndex(), previousIndex+uint64(c.config.MaxBatch)))
+	size := 0
+	for index := previousIndex + 1; index <= last; index++ {
+		size += len(c.entries[index-c.compactedIndex-1].Data)
+		if size > maxBatchBytes {
+			return max(index-1, previousIndex+1)
+		}
+	}
+	return last
+}
+
 func (c *Core) handleAppend(m Message) {
 	if c.role != RoleFollower {
 		c.becomeFollower(m.Term, m.From)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -137,7 +137,7 @@
 	// LeaseDuration must be below ElectionTimeout by a margin that covers the
 	// differences between the rates of the members' clocks.
 	LeaseDuration time.Duration
-	// MaxBatch is the maximum number of entries in one message.
+	// MaxBatch is the maximum number of entries in one message. It is positive.
 	MaxBatch int
 	// Seed initializes the random choice of election timeouts.
 	Seed uint64
