--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -287,9 +287,13 @@
 // isSnapshotDue reports whether the log since the last snapshot has at least
 // SnapshotEvery entries, and at least as many bytes as that snapshot. The second
 // condition keeps the cost of snapshots in proportion to the cost of the log,
-// however large the state is.
+// however large the state is. A log of fewer entries is due once it has several times as
+// many bytes as the snapshot: a member with an empty disk has to read all of it.
 func (c *Coordinator) isSnapshotDue(revision uint64) bool {
-	return revision >= c.lastSnapshotIndex+c.options.SnapshotEvery && c.logBytesSinceSnapshot >= c.snapshotBytes
+	if revision >= c.lastSnapshotIndex+c.options.SnapshotEvery {
+		return c.logBytesSinceSnapshot >= c.snapshotBytes
+	}
+	return c.logBytesSinceSnapshot >= max(minLargeLogBytes, maxLogToSnapshot*c.snapshotBytes)
 }
 
 // encodeSnapshots encodes states until ctx is done. It runs in its own
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -403,13 +403,15 @@
 }
 
 // TakeSnapshot records data as the snapshot at index, which must have been
-// applied, and compacts the log. It keeps up to keepEntries entries before index
-// for members that are slightly behind.
+// applied, and compacts the log. For members that are slightly behind it keeps up to
+// keepEntries entries before index, as long as they are no longer than the snapshot.
 func (c *Core) TakeSnapshot(index uint64, data json.RawMessage, keepEntries uint64) Snapshot {
 	c.snapshot = Snapshot{Index: index, Term: c.termAt(index), Members: c.membersAt(index), Data: data}
-	compactTo := c.compactedIndex
-	if index > keepEntries {
-		compactTo = max(compactTo, index-keepEntries)
+	compactTo := index
+	for kept := 0; compactTo > c.compactedIndex && index-compactTo < keepEntries; compactTo-- {
+		if kept += len(c.entries[compactTo-c.compactedIndex-1].Data); kept > len(data) {
+			break
+		}
 	}
 	c.compactedTerm = c.termAt(compactTo)
 	c.entries = slices.Clone(c.entries[compactTo-c.compactedIndex:])
