--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -1,10 +1,12 @@
-// Package faker provides a fake disk for tests. It loses data that was not synced
-// when it crashes. What it loses is drawn from a seed, so that a run can be
-// repeated.
+// Package faker provides a fake disk for tests. Each of its operations consists of the
+// same steps as on a real disk, and it can be stopped after any of them. It loses what was
+// not synced when the power is lost.
 package faker
 
 import (
+	"errors"
 	"io/fs"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,18 +14,21 @@
 	"github.com/samphirewick/samphirewick/internal/journaler"
 )
 
-// file is the content of one file on a fake disk.
-type file struct {
-	// synced survives a crash; pending is cut off at a random byte.
-	synced  []byte
-	pending []byte
-}
+// ErrStopped is returned by the operations of a disk that StopAfter has stopped.
+var ErrStopped = errors.New("the process was stopped")
 
 // Disk is a fake data folder in memory. Its methods are safe for concurrent use.
 type Disk struct {
 	mutex sync.Mutex
 	rng   *rand.Rand
-	files map[string]*file
+	// files are the files that the process sees, durable those that survive a loss of
+	// power, without the changes in unsyncedNames.
+	files         map[string]*file
+	durable       map[string]*file
+	unsyncedNames []nameChange
+	// stepsLeft is the number of steps after which the disk stops; negative if it does
+	// not stop.
+	stepsLeft int
 	// FailSync, FailAppend and FailReplace, if set, are returned by the operation. An
 	// append that fails has written the first half of its data.
 	FailSync    error
@@ -35,10 +40,17 @@
 	Syncs int
 }
 
-// NewDisk returns an empty fake disk.
+// unlimited is the value of stepsLeft of a disk that does not stop.
+const unlimited = -1
+
+// NewDisk returns an empty fake disk. What Crash loses is drawn from the seed, so that a
+// run can be repeated.
 func NewDisk(seed uint64) *Disk {
 	const defaultFreeBytes = 1 << 40
-	return &Disk{rng: rand.New(rand.NewPCG(seed, seed)), files: map[string]*file{}, free: defaultFreeBytes}
+	return &Disk{
+		rng: rand.New(rand.NewPCG(seed, seed)), files: map[string]*file{}, durable: map[string]*file{},
+		stepsLeft: unlimited, free: defaultFreeBytes,
+	}
 }
 
 // Open returns the disk in the form that the journal uses.
@@ -69,17 +81,24 @@
 	return d.free, nil
 }
 
-// Crash drops the data that was not synced, from a random byte of each file on.
-func (d *Disk) Crash() {
+// StopAfter lets the disk take the given number of further steps. All operations fail
+// after them, until Restart, LosePower or Crash is called.
+func (d *Disk) StopAfter(steps int) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	for _, name := range d.names() {
-		f := d.files[name]
-		if len(f.pending) > 0 {
-			f.synced = append(f.synced, f.pending[:d.rng.IntN(len(f.pending)+1)]...)
-			f.pending = nil
-		}
+	d.stepsLeft = steps
+}
+
+// step takes one step, unless the disk has stopped. The caller holds the mutex.
+func (d *Disk) step(f func()) error {
+	if d.stepsLeft == 0 {
+		return ErrStopped
 	}
+	if d.stepsLeft > 0 {
+		d.stepsLeft--
+	}
+	f()
+	return nil
 }
 
 // Change replaces the content of a file, synced, to simulate damage.
@@ -87,28 +106,24 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	f := d.files[name]
-	f.synced = slices.Clone(change(slices.Concat(f.synced, f.pending)))
-	f.pending = nil
+	f.synced = slices.Clone(change(f.content()))
+	f.unsynced = nil
+	f.size = len(f.synced)
 }
 
 // Names returns the names of the files, sorted.
 func (d *Disk) Names() []string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.names()
+	return slices.Sorted(maps.Keys(d.files))
 }
 
-func (d *Disk) names() []string {
-	var names []string
-	for name := range d.files {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+func (d *Disk) list() ([]string, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Sorted(maps.Keys(d.files)), nil
 }
 
-func (d *Disk) list() ([]string, error) { return d.Names(), nil }
-
 func (d *Disk) read(name string) ([]byte, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -116,7 +131,7 @@
 	if !ok {
 		return nil, fs.ErrNotExist
 	}
-	return slices.Concat(f.synced, f.pending), nil
+	return f.content(), nil
 }
 
 func (d *Disk) append(name string, data []byte) error {
@@ -127,11 +142,10 @@
 		return fs.ErrNotExist
 	}
 	if d.FailAppend != nil {
-		f.pending = append(f.pending, data[:len(data)/2]...)
+		f.write(data[:len(data)/2])
 		return d.FailAppend
 	}
-	f.pending = append(f.pending, data...)
-	return nil
+	return d.step(func() { f.write(data) })
 }
 
 func (d *Disk) sync(name string) error {
@@ -140,16 +154,24 @@
 	if d.FailSync != nil {
 		return d.FailSync
 	}
-	d.Syncs++
-	f := d.files[name]
-	f.synced = append(f.synced, f.pending...)
-	f.pending = nil
-	return nil
+	f, ok := d.files[name]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	return d.step(func() {
+		d.Syncs++
+		d.syncFile(f)
+	})
 }
 
 func (d *Disk) truncate(name string, size int64) error {
-	d.Change(name, func(data []byte) []byte { return data[:size] })
-	return nil
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	f := d.files[name]
+	return d.steps(
+		func() { f.truncate(int(size)) },
+		func() { d.syncFile(f) },
+	)
 }
 
 func (d *Disk) replace(name string, data []byte) error {
@@ -158,13 +180,33 @@
 	if d.FailReplace != nil {
 		return d.FailReplace
 	}
-	d.files[name] = &file{synced: slices.Clone(data)}
-	return nil
+	const temporaryPrefix = "new-"
+	f := &file{}
+	return d.steps(
+		func() { d.changeName(nameChange{to: temporaryPrefix + name, file: f}) },
+		func() { f.write(data) },
+		func() { d.syncFile(f) },
+		func() { d.changeName(nameChange{from: temporaryPrefix + name, to: name, file: f}) },
+		d.syncNames,
+	)
 }
 
 func (d *Disk) remove(name string) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	delete(d.files, name)
+	f, ok := d.files[name]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	return d.step(func() { d.changeName(nameChange{from: name, file: f}) })
+}
+
+// steps takes the steps one after the other. The caller holds the mutex.
+func (d *Disk) steps(list ...func()) error {
+	for _, f := range list {
+		if err := d.step(f); err != nil {
+			return err
+		}
+	}
 	return nil
 }
