test: what a member found at its start survives a loss of power after a kill

What callers would see: a process is killed and starts again, and later the machine loses power: the member starts without a vote or entries that it has acknowledged in between, without anything at all, or not at all.

--- a/internal/journaler/crash_test.go
+++ b/internal/journaler/crash_test.go
@@ -134,6 +134,13 @@
 	return m.save(replicator.Ready{HardState: h, Entries: entries(last+1, last+3, h.Term)})
 }
 
+// replaceLastEntry saves entries of another leader in place of the last one.
+func replaceLastEntry(m *crashingMember) error {
+	h, last := m.nextHardState(), lastIndex(m.state)
+	first := max(last, m.state.Snapshot.Index+1)
+	return m.save(replicator.Ready{HardState: h, Entries: entries(first, first+1, h.Term)})
+}
+
 // takeSnapshot compacts the log up to its last entry but one.
 func takeSnapshot(m *crashingMember) error {
 	if len(m.state.Entries) < 2 {
@@ -279,3 +286,49 @@
 		})
 	}
 }
+
+// killsAndLosses are the losses, and a kill of the process, which leaves changes that a
+// later loss of power may still lose.
+func killsAndLosses() map[string]func(*faker.Disk) {
+	all := losses()
+	all[killed] = (*faker.Disk).Restart
+	return all
+}
+
+func TestRestoredEntriesSurvivePowerLossAfterKill(t *testing.T) {
+	t.Parallel()
+	tests := map[string][]operation{
+		"entries are appended":       {saveEntries},
+		"the last entry is replaced": {replaceLastEntry},
+	}
+	for name, saves := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := enumeration{losses: killsAndLosses(), seen: map[string]bool{}}
+			e.run(t, newCrashingMember(t, saveEntries), []round{saves, saves, saves}, nil)
+		})
+	}
+}
+
+func TestFilesFoundAtStartSurvivePowerLossAfterKill(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		before []operation
+		rounds []round
+	}{
+		"a snapshot is taken":                 {[]operation{saveEntries, takeSnapshot, saveEntries}, []round{{takeSnapshot}, {}, {}}},
+		"a snapshot is installed, then saves": {[]operation{saveEntries}, []round{{installSnapshot(5)}, {saveEntries}, {saveEntries}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := enumeration{losses: killsAndLosses(), seen: map[string]bool{}}
+			e.run(t, newCrashingMember(t, tt.before...), tt.rounds, nil)
+		})
+	}
+	t.Run("a member is founded", func(t *testing.T) {
+		t.Parallel()
+		e := enumeration{losses: killsAndLosses(), seen: map[string]bool{}}
+		e.run(t, &crashingMember{disk: faker.NewDisk(1)}, []round{{}, {saveEntries}, {saveEntries, takeSnapshot}}, nil)
+	})
+}
