--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/oops"
 	"go.uber.org/zap"
 
 	"github.com/samphirewick/samphirewick/internal/caller"
@@ -86,15 +87,42 @@
 		return err
 	}
 	if m.disk, err = journaler.OpenDisk(settings.Member.DataFolder); err != nil {
+		m.logStartError(err)
 		return err
 	}
 	defer func() { _ = m.disk.Close() }()
 	if err := m.build(); err != nil {
+		m.logStartError(err)
 		return err
 	}
 	return m.serve()
 }
 
+// logStartError logs why the member does not start, and the file that it could not use.
+func (m *member) logStartError(err error) {
+	fields := []zap.Field{zap.String("folder", m.settings.Member.DataFolder), zap.Error(err)}
+	if oopsError, ok := oops.AsOops(err); ok {
+		fields = append(fields, zap.Any("code", oopsError.Code()), zap.Any("file", oopsError.Context()["file"]))
+	}
+	m.log.Error("member not started", fields...)
+}
+
+// logRestored logs what the member starts with.
+func (m *member) logRestored(journal *journaler.Journal, restored replicator.RestoredState) {
+	voters := 0
+	for _, other := range m.coordinator.MemberList() {
+		if other.Voter {
+			voters++
+		}
+	}
+	m.log.Info("journal restored", zap.String("member", m.coordinator.Identity().Member),
+		zap.Uint64("snapshotIndex", restored.Snapshot.Index),
+		zap.Uint64("lastIndex", restored.Snapshot.Index+uint64(len(restored.Entries))),
+		zap.Uint64("commit", max(restored.Snapshot.Index, restored.Commit)),
+		zap.Uint64("term", restored.HardState.Term), zap.String("vote", restored.HardState.Vote),
+		zap.Int("voters", voters), zap.Int("tornBytes", journal.TornBytes()))
+}
+
 // build creates the components in the order of their dependencies.
 func (m *member) build() error {
 	identity, err := loadIdentity(m.disk, m.settings)
@@ -129,6 +157,7 @@
 	if err != nil {
 		return err
 	}
+	m.logRestored(journal, restored)
 	m.meter = meter.New("control")
 	leases := m.settings.Leases
 	m.manager = controller.NewManager(m.coordinator, controller.Options{
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -51,10 +51,16 @@
 	// commitIndex is the highest commit index that Save was given or Open has
 	// read. It is written along with the next record.
 	commitIndex uint64
+	// tornBytes is the number of bytes that Open has cut off at the end of the log.
+	tornBytes int
 	// writeError is the error of a failed write. After one, Save writes nothing more.
 	writeError error
 }
 
+// TornBytes returns the number of bytes of an incomplete frame that Open has removed from
+// the end of the log.
+func (j *Journal) TornBytes() int { return j.tornBytes }
+
 // Open reads the journal on the disk, or creates it if there is none.
 // initialMembers is the membership before the first entry. The error has
 // CodeDamaged or CodeDisk.
@@ -183,6 +189,7 @@
 	if err := j.disk.Truncate(j.logFile, int64(validLength)); err != nil {
 		return diskError(err, "truncate", j.logFile)
 	}
+	j.tornBytes = len(data) - validLength
 	return nil
 }
 
