--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -65,12 +65,11 @@
 // initialMembers is the membership before the first entry. The error has
 // CodeDamaged or CodeDisk.
 func Open(disk Disk, initialMembers []replicator.Member) (*Journal, replicator.RestoredState, error) {
-	names, err := disk.List()
+	j := &Journal{disk: disk}
+	names, err := j.list()
 	if err != nil {
-		return nil, replicator.RestoredState{}, diskError(err, "list", "")
+		return nil, replicator.RestoredState{}, err
 	}
-	slices.Sort(names)
-	j := &Journal{disk: disk}
 	restored := replicator.RestoredState{Snapshot: replicator.Snapshot{Members: initialMembers}}
 	snapshotName := latestFile(names, snapshotPrefix)
 	if snapshotName != "" {
@@ -95,6 +94,27 @@
 	return j, restored, j.removeSuperseded(names, snapshotName)
 }
 
+// list returns the names of the files, sorted. It removes the unfinished files that a crash
+// has left, which may hold the space that the next file needs.
+func (j *Journal) list() ([]string, error) {
+	names, err := j.disk.List()
+	if err != nil {
+		return nil, diskError(err, "list", "")
+	}
+	var finished []string
+	for _, name := range names {
+		if !strings.HasPrefix(name, temporaryPrefix) {
+			finished = append(finished, name)
+			continue
+		}
+		if err := j.disk.Remove(name); err != nil {
+			return nil, diskError(err, "remove", name)
+		}
+	}
+	slices.Sort(finished)
+	return finished, nil
+}
+
 func latestFile(names []string, prefix string) string {
 	for _, name := range slices.Backward(names) {
 		if _, ok := parseName(name, prefix); ok {
@@ -160,23 +180,29 @@
 	}
 	restored.HardState = j.hardState
 	restored.Commit = j.commitIndex
-	restored.Entries = entriesAfter(restored.Snapshot, baseIndex, entries)
+	if restored.Snapshot.Index < baseIndex {
+		return damagedError(j.logFile, "the snapshot before its first entry is missing")
+	}
+	following, ok := entriesAfter(restored.Snapshot, baseIndex, entries)
+	if !ok {
+		// What is saved from now on follows the snapshot, so it must not be appended to this log.
+		return j.startLog(restored.Snapshot.Index, nil)
+	}
+	restored.Entries = following
 	return nil
 }
 
-// entriesAfter returns the entries that follow the snapshot. It returns none if
-// the log does not hold the entry at the index of the snapshot with its term.
-func entriesAfter(s replicator.Snapshot, baseIndex uint64, entries []replicator.Entry) []replicator.Entry {
+// entriesAfter returns the entries that follow the snapshot, and whether the log
+// continues the snapshot: it starts there, or holds the entry at the index of the
+// snapshot with its term.
+func entriesAfter(s replicator.Snapshot, baseIndex uint64, entries []replicator.Entry) ([]replicator.Entry, bool) {
 	if s.Index == baseIndex {
-		return entries
-	}
-	if s.Index < baseIndex || s.Index > baseIndex+uint64(len(entries)) {
-		return nil
+		return entries, true
 	}
-	if entries[s.Index-baseIndex-1].Term != s.Term {
-		return nil
+	if s.Index > baseIndex+uint64(len(entries)) || entries[s.Index-baseIndex-1].Term != s.Term {
+		return nil, false
 	}
-	return entries[s.Index-baseIndex:]
+	return entries[s.Index-baseIndex:], true
 }
 
 // truncateTornTail removes an incomplete frame that a crash left at the end of
@@ -250,7 +276,6 @@
 	if j.writeError != nil {
 		return j.writeError
 	}
-	hardState := j.hardState
 	frame, err := encodeFrame(s)
 	if err != nil {
 		return err
@@ -259,29 +284,38 @@
 	if err := j.disk.Replace(snapshotName, frame); err != nil {
 		return j.fail(err, "write snapshot")
 	}
-	frame, err = encodeFrame(record{HardState: &hardState, Entries: entries, Commit: j.commitIndex})
+	if err := j.startLog(s.Index, entries); err != nil {
+		return err
+	}
+	names, err := j.list()
 	if err != nil {
 		return err
 	}
-	j.logFile = fileName(logPrefix, s.Index)
+	return j.removeSuperseded(names, snapshotName)
+}
+
+// startLog writes the log that follows the snapshot at index. It holds the hard state and
+// the entries.
+func (j *Journal) startLog(index uint64, entries []replicator.Entry) error {
+	hardState := j.hardState
+	frame, err := encodeFrame(record{HardState: &hardState, Entries: entries, Commit: j.commitIndex})
+	if err != nil {
+		return err
+	}
+	j.logFile = fileName(logPrefix, index)
 	if err := j.disk.Replace(j.logFile, frame); err != nil {
 		return j.fail(err, "write log")
 	}
-	names, err := j.disk.List()
-	if err != nil {
-		return j.fail(err, "list")
-	}
-	return j.removeSuperseded(names, snapshotName)
+	return nil
 }
 
-// removeSuperseded removes the snapshots and logs that newer ones have replaced, and
-// the temporary files that a crash has left.
+// removeSuperseded removes the snapshots and logs that newer ones have replaced.
 func (j *Journal) removeSuperseded(names []string, snapshotName string) error {
 	for _, name := range names {
 		_, isSnapshot := parseName(name, snapshotPrefix)
 		_, isLog := parseName(name, logPrefix)
-		old := (isSnapshot && name != snapshotName) || (isLog && name != j.logFile)
-		if !old && !strings.HasPrefix(name, temporaryPrefix) {
+		isSuperseded := (isSnapshot && name != snapshotName) || (isLog && name != j.logFile)
+		if !isSuperseded {
 			continue
 		}
 		if err := j.disk.Remove(name); err != nil {
