fix: a member syncs the log that it finds before it acts on it

What callers saw: nothing in a record that shows it. What they would see: a member that was killed in a save, started again, and lost power later, has forgotten a vote or entries that it had acknowledged in between, so that it may vote twice or a leader lacks what was accepted.

Cause: a killed process leaves records that were appended and not synced. The next process read them and took them for saved: it answered appends and votes by them without a write of its own, and so without a sync.

Change: Open syncs the log. Sync of the real disk did nothing for a file that this process had not appended to; it opens the file now. TestRealDiskSyncsFileOfAnotherProcess checks that: a sync of a file that does not exist succeeded before.

--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -18,9 +18,10 @@
 // Disk gives access to the files of one data folder by name. No field is nil.
 // Tests replace the fields.
 type Disk struct {
-	List     func() ([]string, error)
-	Read     func(name string) ([]byte, error)
-	Append   func(name string, data []byte) error
+	List   func() ([]string, error)
+	Read   func(name string) ([]byte, error)
+	Append func(name string, data []byte) error
+	// Sync returns once the content of the file is on disk, whoever has written it.
 	Sync     func(name string) error
 	Truncate func(name string, size int64) error
 	// Replace writes a file atomically: after a crash either the old or the new
@@ -35,7 +36,7 @@
 // folder is a data folder in the file system.
 type folder struct {
 	path string
-	// openFile is the file that was appended to last, with the name openName;
+	// openFile is the file that was appended to or synced last, with the name openName;
 	// nil if there is none.
 	openFile *os.File
 	openName string
@@ -87,21 +88,30 @@
 }
 
 func (f *folder) append(name string, data []byte) error {
-	if f.openName != name || f.openFile == nil {
-		if err := f.closeOpen(); err != nil {
-			return err
-		}
-		file, err := os.OpenFile(filepath.Join(f.path, name), os.O_APPEND|os.O_WRONLY, fileMode)
-		if err != nil {
-			return err
-		}
-		f.openFile = file
-		f.openName = name
+	if err := f.open(name); err != nil {
+		return err
 	}
 	_, err := f.openFile.Write(data)
 	return err
 }
 
+// open makes the named file the open one.
+func (f *folder) open(name string) error {
+	if f.openName == name && f.openFile != nil {
+		return nil
+	}
+	if err := f.closeOpen(); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(filepath.Join(f.path, name), os.O_APPEND|os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	f.openFile = file
+	f.openName = name
+	return nil
+}
+
 func (f *folder) closeOpen() error {
 	if f.openFile == nil {
 		return nil
@@ -112,8 +122,8 @@
 }
 
 func (f *folder) sync(name string) error {
-	if f.openName != name || f.openFile == nil {
-		return nil
+	if err := f.open(name); err != nil {
+		return err
 	}
 	return syscall.Fdatasync(int(f.openFile.Fd()))
 }
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -178,6 +178,10 @@
 		}
 		rest = after
 	}
+	// A killed process may have appended records that it did not sync.
+	if err := j.disk.Sync(j.logFile); err != nil {
+		return j.fail(err, "sync")
+	}
 	restored.HardState = j.hardState
 	restored.Commit = j.commitIndex
 	if restored.Snapshot.Index < baseIndex {
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io/fs"
 	"slices"
 	"strings"
 	"testing"
@@ -429,3 +430,20 @@
 		t.Errorf("format of an address that is not among the founders: got error %v, want CodeIdentity", err)
 	}
 }
+
+func TestRealDiskSyncsFileOfAnotherProcess(t *testing.T) {
+	t.Parallel()
+	disk, err := journaler.OpenDisk(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := disk.Sync("log"); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("sync of a file that does not exist: got error %v, want not exist", err)
+	}
+	if err := disk.Replace("log", []byte("a")); err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(disk.Sync("log"), disk.Append("log", []byte("b")), disk.Close()); err != nil {
+		t.Fatal(err)
+	}
+}
