fix: a member syncs its data folder before it relies on the files in it

What callers saw: nothing in a record that shows it. What they would see: a member that was killed while it replaced a file, started again, and lost power later, starts with nothing or does not start.

Cause: a killed process may have renamed a file and not synced the folder. The next process took the renamed file for durable and removed the ones that it replaces; of a rename and a removal that are not synced, a loss of power may keep the removal only.

Change: Open syncs the folder before it lists it. Disk has SyncFolder for it.

--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -56,15 +56,16 @@
 // Open returns the disk in the form that the journal uses.
 func (d *Disk) Open() journaler.Disk {
 	return journaler.Disk{
-		List:      d.list,
-		Read:      d.read,
-		Append:    d.append,
-		Sync:      d.sync,
-		Truncate:  d.truncate,
-		Replace:   d.replace,
-		Remove:    d.remove,
-		FreeBytes: d.freeBytes,
-		Close:     func() error { return nil },
+		List:       d.list,
+		Read:       d.read,
+		Append:     d.append,
+		Sync:       d.sync,
+		Truncate:   d.truncate,
+		Replace:    d.replace,
+		Remove:     d.remove,
+		SyncFolder: d.syncFolder,
+		FreeBytes:  d.freeBytes,
+		Close:      func() error { return nil },
 	}
 }
 
@@ -201,6 +202,12 @@
 	return d.step(func() { d.changeName(nameChange{from: name, file: f}) })
 }
 
+func (d *Disk) syncFolder() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.step(d.syncNames)
+}
+
 // steps takes the steps one after the other. The caller holds the mutex.
 func (d *Disk) steps(list ...func()) error {
 	for _, f := range list {
--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -28,6 +28,8 @@
 	// content is there. It returns once the new content is on disk.
 	Replace func(name string, data []byte) error
 	Remove  func(name string) error
+	// SyncFolder returns once the names of the files are on disk.
+	SyncFolder func() error
 	// FreeBytes returns the free space on the disk.
 	FreeBytes func() (uint64, error)
 	Close     func() error
@@ -59,15 +61,16 @@
 	}
 	f := &folder{path: path}
 	return Disk{
-		List:      f.list,
-		Read:      f.read,
-		Append:    f.append,
-		Sync:      f.sync,
-		Truncate:  f.truncate,
-		Replace:   f.replace,
-		Remove:    f.remove,
-		FreeBytes: f.freeBytes,
-		Close:     func() error { return errors.Join(f.closeOpen(), lock.Close()) },
+		List:       f.list,
+		Read:       f.read,
+		Append:     f.append,
+		Sync:       f.sync,
+		Truncate:   f.truncate,
+		Replace:    f.replace,
+		Remove:     f.remove,
+		SyncFolder: f.syncFolder,
+		FreeBytes:  f.freeBytes,
+		Close:      func() error { return errors.Join(f.closeOpen(), lock.Close()) },
 	}, nil
 }
 
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -65,6 +65,10 @@
 // initialMembers is the membership before the first entry. The error has
 // CodeDamaged or CodeDisk.
 func Open(disk Disk, initialMembers []replicator.Member) (*Journal, replicator.RestoredState, error) {
+	// A killed process may have renamed files without syncing the folder.
+	if err := disk.SyncFolder(); err != nil {
+		return nil, replicator.RestoredState{}, diskError(err, "sync folder", "")
+	}
 	j := &Journal{disk: disk}
 	names, err := j.list()
 	if err != nil {
