refactor: the joiner stands beside the coordinator

Tests of a whole cell have to run the logic by which a member asks to join, which the program kept to itself.

Run: go test of the coordinator's joiner test (race detector) and of control's module pass.

--- a/cmd/samphirewick-control/internal/commander/joiner_test.go
+++ b/internal/coordinator/joiner_test.go
@@ -1,4 +1,4 @@
-package commander
+package coordinator
 
 import (
 	"context"
@@ -31,12 +31,12 @@
 				ctx, cancel := context.WithTimeout(t.Context(), watched)
 				defer cancel()
 				asked, start := 0, time.Now()
-				j := joiner{
-					isMember:     func() bool { return tt.isMember },
-					sinceContact: func() time.Duration { return max(0, time.Since(start)-tt.contact) },
-					ask:          func(context.Context) { asked++ },
+				j := Joiner{
+					IsMember:     func() bool { return tt.isMember },
+					SinceContact: func() time.Duration { return max(0, time.Since(start)-tt.contact) },
+					Ask:          func(context.Context) { asked++ },
 				}
-				if err := j.run(ctx); err != nil || (asked > 0) != tt.asks {
+				if err := j.Run(ctx); err != nil || (asked > 0) != tt.asks {
 					t.Errorf("asked %d times with error %v, want any: %t", asked, err, tt.asks)
 				}
 			})
