feat: a member without a leader logs which voters it hears, and a leader each committed membership

After a final fault the log of a site did not tell a missing quorum from members that do not start, or from callers that do not find the leader.

A member logs its restored membership, term and indexes at its start. While it knows no leader for over 1 s it logs, once a second, the votes that it needs and when a message of each member last arrived. A leader logs each change of the membership once it is committed, with its reason, how long it took, and when each member was heard before it.

--- a/internal/coordinator/apply.go
+++ b/internal/coordinator/apply.go
@@ -29,6 +29,7 @@
 
 func (c *Coordinator) applyEntry(e replicator.Entry) error {
 	c.logBytesSinceSnapshot += len(e.Data)
+	c.logCommittedChange(e)
 	before := c.State()
 	after := before
 	after.Revision = e.Index
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -141,7 +141,10 @@
 	// commitAtLastCheck is the commit index at the last membership check.
 	commitAtLastCheck   uint64
 	nextMissingVoterLog time.Duration
-	nextDiskCheck       time.Duration
+	// proposedChange is the last change of the membership that this member has proposed.
+	proposedChange       proposedChange
+	nextMissingQuorumLog time.Duration
+	nextDiskCheck        time.Duration
 }
 
 // pendingProposal is a proposal whose entry is in the log and not yet applied.
@@ -212,6 +215,8 @@
 	c.leaseChanged.Store(&leaseChanged)
 	c.publishMembers()
 	c.replicationStats.Store(&replicator.Stats{})
+	options.Log.Info("member restored", zap.Uint64("term", c.core.Term()), zap.Uint64("lastIndex", c.core.LastIndex()),
+		zap.Uint64("commit", c.core.Commit()), zap.Any("members", c.core.Members()))
 	return c, nil
 }
 
@@ -274,6 +279,7 @@
 			c.handleQueuedEvents()
 			c.core.Tick(c.Now())
 			c.checkMembership()
+			c.logMissingQuorum()
 			c.checkDisk()
 		}
 		if err := c.processReady(); err != nil {
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -239,11 +239,13 @@
 		p.reply <- proposalResult{err: refusal}
 		return
 	}
+	before := c.heardMembers()
 	index, err := c.core.ProposeMembers(next)
 	if err != nil {
 		p.reply <- proposalResult{err: modeler.Refuse(modeler.CodeConflict, "members", "%v", err)}
 		return
 	}
+	c.recordProposedChange(index, "requested", before)
 	c.pending[index] = pendingProposal{c.core.Term(), p.reply}
 }
 
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -37,10 +37,13 @@
 		c.logMissingVoter(healths)
 		return
 	}
-	if _, err := c.core.ProposeMembers(next); err != nil {
+	before := c.heardMembers()
+	index, err := c.core.ProposeMembers(next)
+	if err != nil {
 		c.options.Log.Warn("membership change not proposed", zap.String("reason", reason), zap.Error(err))
 		return
 	}
+	c.recordProposedChange(index, reason, before)
 	c.options.Log.Warn("membership change proposed", zap.String("reason", reason), zap.Any("members", next))
 }
 
--- a/internal/coordinator/site_test.go
+++ b/internal/coordinator/site_test.go
@@ -60,6 +60,7 @@
 	seeds     []replicator.Member
 	startedAt time.Time
 	random    *rand.Rand
+	log       *zap.Logger
 	// formatted counts the identities that were created.
 	formatted int
 
@@ -76,7 +77,7 @@
 func newSite(t *testing.T, seed uint64, tolerated, machines int) *site {
 	t.Helper()
 	const founders = 3
-	s := &site{t: t, tolerated: tolerated, startedAt: time.Now(), random: rand.New(rand.NewPCG(seed, 1))}
+	s := &site{t: t, tolerated: tolerated, startedAt: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), log: zap.NewNop()}
 	for i := range founders {
 		a := fmt.Sprintf("host%d", i)
 		s.seeds = append(s.seeds, replicator.Member{ID: "founder-" + a, Address: a, Voter: true})
@@ -158,7 +159,7 @@
 			}
 			return s.now()
 		},
-		Log: zap.NewNop(),
+		Log: s.log,
 	})
 	if err != nil {
 		s.t.Errorf("member %s: %v", identity.Member, err)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -195,6 +195,8 @@
 	savedHardState HardState
 	leader         string
 	votes          map[string]bool
+	// heardAt is when a message of a member last arrived, in any role of this one.
+	heardAt map[string]time.Duration
 	// electionDeadline is when a follower starts an election, or a candidate starts another one.
 	electionDeadline time.Duration
 	// lastLeaderContact is when the member last had contact to a leader, or when it started.
@@ -258,6 +260,7 @@
 		commitIndex:       restored.Snapshot.Index,
 		lastApplied:       restored.Snapshot.Index,
 		lastLeaderContact: now,
+		heardAt:           map[string]time.Duration{},
 	}
 	c.memberships = []membershipAt{{restored.Snapshot.Index, restored.Snapshot.Members}}
 	for _, e := range c.entries {
@@ -308,6 +311,7 @@
 // Step handles a message that was received at time now.
 func (c *Core) Step(now time.Duration, m Message) {
 	c.now = max(c.now, now)
+	c.recordHeard(m.From)
 	if m.Term > c.hardState.Term && !c.handleHigherTerm(m) {
 		return
 	}
