fix: a leader that stops while entries are under way hands over its leadership

Callers wait for an election after a leader was stopped by SIGTERM, though it should have handed over: TransferLeadership was asked once, and refused if at that moment no other voter held the last entry, which is the usual state of a cell that is being written to. The leader then went on for 0.5 s and stopped without a successor.

From the request on a leader that hears any voter has no lease and accepts no proposals and no membership changes; the first voter whose answer shows that it holds the whole log is asked to start an election. Nothing is less safe: the lease ends earlier than before, the log that the successor holds is complete, and without one the leader steps down after 0.3 s as before.

Run: TestBusyLeaderTransfersItsLeadership failed before with 'the leader does not transfer its leadership'; all tests of the replicator pass with the race detector.

--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -86,7 +86,7 @@
 // ProposeMembers appends a new membership and returns the index of its entry.
 // The new membership may differ from the current one by at most one voter.
 func (c *Core) ProposeMembers(members []Member) (uint64, error) {
-	if c.role != RoleLeader {
+	if c.role != RoleLeader || c.transferring {
 		return 0, ErrNotLeader
 	}
 	if c.memberships[len(c.memberships)-1].index > c.commitIndex {
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -271,6 +271,7 @@
 	}
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
 	c.commitAcknowledged()
+	c.continueTransfer()
 	c.sendNewEntries(m.From, p)
 }
 
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -216,6 +216,8 @@
 	// transferring is set on a leader that transfers its leadership: it holds no
 	// lease and accepts no proposals.
 	transferring bool
+	// transferSent is set once a member was asked to take over.
+	transferSent bool
 	// transferDeadline is when a leader that transfers its leadership steps
 	// down even if no other member was elected.
 	transferDeadline time.Duration
--- a/internal/replicator/transfer.go
+++ b/internal/replicator/transfer.go
@@ -8,25 +8,46 @@
 // arrive.
 const transferTimeout = 300 * time.Millisecond
 
-// TransferLeadership transfers the leadership to a voter that holds the whole
-// log, and reports whether there is one. From then on the leader has no lease:
-// the caller must stop relying on it before the message of the transfer is
-// sent.
+// TransferLeadership transfers the leadership to another voter, and reports whether any
+// answers. From then on the leader has no lease and accepts no proposals: the caller must
+// stop relying on the lease before the messages of the transfer are sent. The first voter
+// that holds the whole log starts an election.
 func (c *Core) TransferLeadership() bool {
 	if c.role != RoleLeader || c.transferring {
 		return false
 	}
 	for _, m := range c.Members() {
-		p, ok := c.peers[m.ID]
-		if !ok || !m.Voter || p.matchIndex < c.lastIndex() || c.now-p.ackedSentAt >= c.config.ElectionTimeout {
+		if m.Voter && c.hasAnsweredLately(m.ID) {
+			c.transferring, c.transferSent = true, false
+			c.transferDeadline = c.now + transferTimeout
+			c.continueTransfer()
+			return true
+		}
+	}
+	return false
+}
+
+// hasAnsweredLately reports whether the member has answered a message that this leader sent
+// within the election timeout.
+func (c *Core) hasAnsweredLately(id string) bool {
+	p, ok := c.peers[id]
+	return ok && c.now-p.ackedSentAt < c.config.ElectionTimeout
+}
+
+// continueTransfer asks a voter that holds the whole log to start an election, if the
+// leadership is being transferred and none has been asked yet.
+func (c *Core) continueTransfer() {
+	if !c.transferring || c.transferSent {
+		return
+	}
+	for _, m := range c.Members() {
+		if !m.Voter || !c.hasAnsweredLately(m.ID) || c.peers[m.ID].matchIndex < c.lastIndex() {
 			continue
 		}
-		c.transferring = true
-		c.transferDeadline = c.now + transferTimeout
+		c.transferSent = true
 		c.sendBeforeSync(Message{Kind: MessageTimeoutNow, To: m.ID})
-		return true
+		return
 	}
-	return false
 }
 
 // handleTimeoutNow starts an election at once and without pre-vote, since the
--- a/internal/replicator/transfer_test.go
+++ b/internal/replicator/transfer_test.go
@@ -75,3 +75,26 @@
 		}
 	}
 }
+
+func TestBusyLeaderTransfersItsLeadership(t *testing.T) {
+	t.Parallel()
+	for _, seed := range seeds(t, 20) {
+		c := newCell(t, seed, 3)
+		c.lossPercent = 0
+		c.run(5 * time.Second)
+		before := c.leader()
+		c.propose()
+		// No other member holds the last entry yet.
+		if !before.core.TransferLeadership() {
+			t.Fatalf("seed %d: the leader does not transfer its leadership", seed)
+		}
+		c.handleReady(before)
+		if _, err := before.core.Propose(nil); !errors.Is(err, replicator.ErrNotLeader) {
+			t.Errorf("seed %d: proposal during the transfer: got error %v, want ErrNotLeader", seed, err)
+		}
+		c.run(electionTimeout * 8 / 10)
+		if after := c.leader(); after == nil || after == before {
+			t.Fatalf("seed %d: no other member leads within 0.8 election timeouts of the transfer", seed)
+		}
+	}
+}
