fix: a member that led until a moment ago does not ask to join

A leader that steps down counted its silence from the last leader before it, so that it took itself for a removed member and asked to join until the next election.

The time since it led counts as contact now. Votes don't depend on it.

--- a/internal/replicator/contact.go
+++ b/internal/replicator/contact.go
@@ -26,3 +26,12 @@
 	at, ok := c.heardAt[id]
 	return c.now - at, ok
 }
+
+// SinceLeaderContact returns the time since the last contact to a leader, or since this
+// member led, or since its start if there was neither. It is zero for a leader.
+func (c *Core) SinceLeaderContact() time.Duration {
+	if c.role == RoleLeader {
+		return 0
+	}
+	return c.now - max(c.lastLeaderContact, c.ledUntil)
+}
--- a/internal/replicator/contact_test.go
+++ b/internal/replicator/contact_test.go
@@ -23,3 +23,19 @@
 		t.Errorf("time since last contact is %v one second after the member was added, want 1s", sinceContact)
 	}
 }
+
+func TestMemberThatLedHasHadContactUntilThen(t *testing.T) {
+	t.Parallel()
+	c := New(Config{ID: "a", ElectionTimeout: time.Second, HeartbeatInterval: time.Second / 10},
+		RestoredState{Snapshot: Snapshot{Members: []Member{{ID: "a", Voter: true}}}}, 0)
+	c.Tick(time.Minute)
+	if c.Role() != RoleLeader {
+		t.Fatal("the only voter does not lead")
+	}
+	c.Tick(2 * time.Minute)
+	c.becomeFollower(c.Term(), "")
+	c.Tick(2*time.Minute + time.Second/2)
+	if since := c.SinceLeaderContact(); since != time.Second/2 {
+		t.Errorf("a member that led until 0.5 s ago had contact to a leader %v ago", since)
+	}
+}
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -6,6 +6,9 @@
 	if term > c.hardState.Term {
 		c.hardState = HardState{Term: term}
 	}
+	if c.role == RoleLeader {
+		c.ledUntil = c.now
+	}
 	c.role = RoleFollower
 	c.leader = leader
 	c.transferring = false
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -335,15 +335,6 @@
 	return r
 }
 
-// SinceLeaderContact returns the time since the last contact to a leader, or since the
-// start if there was none. It is zero for a leader.
-func (c *Core) SinceLeaderContact() time.Duration {
-	if c.role == RoleLeader {
-		return 0
-	}
-	return c.now - c.lastLeaderContact
-}
-
 // CurrentAsOf returns a time such that this member, which follows a leader, has applied
 // all that the leader had committed when it sent what arrived then. It returns zero
 // if the member has never caught up with a leader.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -201,6 +201,8 @@
 	electionDeadline time.Duration
 	// lastLeaderContact is when the member last had contact to a leader, or when it started.
 	lastLeaderContact time.Duration
+	// ledUntil is when the member last stopped leading; zero if it has not.
+	ledUntil time.Duration
 	// patience is what this member asks for as a leader, leaderPatience what the leader
 	// has asked for; zero if none is known. Both are at most maxPatience.
 	patience, leaderPatience time.Duration
