fix: a voter that stops hands its vote to a learner that stands by

Callers were served nothing any more if a disk was lost with the power of all others soon after a planned replacement. The member that was stopped stayed a voter until it had been silent for 2.5 s, so that for 2.8 s the cell of it, two others and a learner that had caught up could not bear the loss of one of the two.

A voter that stops first transfers its leadership, as before, and then tells the leader that it leaves, again and again until it has no vote or 1 s has passed. The leader makes a ready learner a voter and then the leaving voter a learner, each with the next tick instead of the next check. If no learner is in the membership, the member stops at once. A member that only restarts finds itself a learner, with its log; a request to leave holds for 1 s.

It is safe since both changes are of one voter each, the second one is proposed once the first is committed, and a leaving member still answers meanwhile; a lost or repeated request at most moves a vote from one member that holds the log to another.

--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -221,7 +221,7 @@
 	m.log.Info("member started", zap.String("member", m.coordinator.Identity().Member),
 		zap.String("cell", m.coordinator.Identity().Cell), zap.Uint64("revision", m.coordinator.State().Revision))
 	err = runner.Run(context.Background(),
-		m.transferLeadership,
+		m.handOver,
 		func(ctx context.Context) error { return server.Serve(ctx, listener) },
 		m.manager.Run,
 		m.coordinator.Run,
@@ -237,16 +237,17 @@
 	return errors.Join(err, m.meter.Close())
 }
 
-// transferTimeout bounds the wait for another member to become leader.
-const transferTimeout = 500 * time.Millisecond
+// handOverTimeout bounds the wait for other members to take over the leadership and the
+// vote of this one.
+const handOverTimeout = time.Second
 
-// transferLeadership transfers the leadership to another member when ctx ends,
+// handOver hands the leadership and the vote of this member over to others when ctx ends,
 // before the other components stop.
-func (m *member) transferLeadership(ctx context.Context) error {
+func (m *member) handOver(ctx context.Context) error {
 	<-ctx.Done()
-	transferCtx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+	handOverCtx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	m.coordinator.TransferLeadership(transferCtx)
+	m.coordinator.HandOver(handOverCtx)
 	return nil
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -164,11 +164,15 @@
 	messages *messageBatch
 	members  *membershipProposal
 	transfer *transferRequest
+	leave    *leaveRequest
 }
 
 // transferRequest requests that the leader transfers its leadership.
 type transferRequest struct{}
 
+// leaveRequest requests that this member asks the leader to move its vote to a learner.
+type leaveRequest struct{}
+
 type proposal struct {
 	data  json.RawMessage
 	reply chan proposalResult
@@ -313,6 +317,8 @@
 		c.handleMembershipProposal(*e.members)
 	case e.transfer != nil:
 		c.handleTransfer()
+	case e.leave != nil:
+		c.core.Leave()
 	}
 }
 
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -171,30 +171,6 @@
 	c.members.Store(&members)
 }
 
-// transferPollInterval is how often TransferLeadership checks whether the
-// transfer is complete.
-const transferPollInterval = 10 * time.Millisecond
-
-// TransferLeadership transfers the leadership to another member, if this one
-// leads. It blocks until this member no longer leads or ctx is done.
-func (c *Coordinator) TransferLeadership(ctx context.Context) {
-	if !c.Leadership().IsLeader {
-		return
-	}
-	select {
-	case c.events <- event{transfer: &transferRequest{}}:
-	default:
-		return
-	}
-	for c.Leadership().IsLeader {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(transferPollInterval):
-		}
-	}
-}
-
 // IsStateRecent reports whether the state of this member, which may be a follower,
 // holds all that was committed longer ago than the age, apart from what a message of
 // the leader takes to arrive.
@@ -209,14 +185,6 @@
 	return time.Duration(c.sinceLeaderContact.Load())
 }
 
-// handleTransfer drops the leader lease before another member can be elected.
-func (c *Coordinator) handleTransfer() {
-	c.leaseUntil.Store(0)
-	if c.core.TransferLeadership() {
-		c.options.Log.Info("leadership transfer started", zap.Uint64("term", c.core.Term()))
-	}
-}
-
 // ChangeMembers commits the membership that change returns for the current one.
 // It blocks until the new membership is committed or ctx is done. The error is
 // the refusal that change returns, a refusal as from Propose, or a refusal with
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -20,19 +20,24 @@
 	// superseded is true if a member that was added later has the same address,
 	// which means that this one has lost its disk.
 	superseded bool
+	// leaving is true if the member has said that it is about to stop.
+	leaving bool
 }
 
 // checkMembership proposes a change of the membership by one member if that
 // repairs it.
 func (c *Coordinator) checkMembership() {
 	now := c.Now()
-	if c.core.Role() != replicator.RoleLeader || now < c.nextMembershipCheck {
+	isDue := now >= c.nextMembershipCheck
+	if c.core.Role() != replicator.RoleLeader || (!isDue && !c.isVoterLeaving()) {
 		return
 	}
-	c.nextMembershipCheck = now + membershipCheckInterval
 	healths := c.memberHealths()
 	next, reason := repairMembership(healths, c.options.Voters)
-	c.commitAtLastCheck = c.core.Commit()
+	if isDue {
+		c.nextMembershipCheck = now + membershipCheckInterval
+		c.commitAtLastCheck = c.core.Commit()
+	}
 	if reason == "" {
 		c.logMissingVoter(healths)
 		return
@@ -47,6 +52,11 @@
 	c.options.Log.Warn("membership change proposed", zap.String("reason", reason), zap.Any("members", next))
 }
 
+// isVoterLeaving reports whether a voter has little time left to hand over its vote.
+func (c *Coordinator) isVoterLeaving() bool {
+	return slices.ContainsFunc(c.core.Members(), func(m replicator.Member) bool { return m.Voter && c.core.IsLeaving(m.ID) })
+}
+
 // logMissingVoter logs the health of the members at most once per
 // missingVoterLogInterval while a voter is lost or missing and no member can take its place.
 func (c *Coordinator) logMissingVoter(healths []memberHealth) {
@@ -85,6 +95,7 @@
 			// Answers to the latest entries are on their way, the more the busier the cell is.
 			health.ready = active && c.core.LastIndex()-lag+maxPromotionLag >= c.commitAtLastCheck
 			health.sinceLastContact = c.core.SinceLastContact(m.ID)
+			health.leaving = c.core.IsLeaving(m.ID)
 		}
 		for _, later := range members[i+1:] {
 			health.superseded = health.superseded || later.Address == m.Address
@@ -98,7 +109,7 @@
 // that a repair may change; -1 stands for none.
 type membershipSummary struct {
 	voters int
-	// lostVoter is a voter that does not answer or has lost its disk.
+	// lostVoter is a voter that does not answer, has lost its disk or is about to stop.
 	lostVoter int
 	// readyLearner is the first learner that has caught up.
 	readyLearner int
@@ -113,18 +124,34 @@
 			c.voters++
 		}
 		switch {
-		case s.Voter && (s.superseded || s.sinceLastContact > replaceVoterAfter):
+		case s.Voter && (s.leaving || s.isLost(replaceVoterAfter)):
 			c.lostVoter = i
 		case s.Voter:
-		case s.superseded || s.sinceLastContact > removeLearnerAfter:
+		case s.isLost(removeLearnerAfter):
 			c.lostLearner = i
-		case s.ready && c.readyLearner < 0:
+		case s.ready && !s.leaving && c.readyLearner < 0:
 			c.readyLearner = i
 		}
 	}
 	return c
 }
 
+// isLost reports whether the member has lost its disk or does not answer for longer than
+// the time.
+func (h memberHealth) isLost(silence time.Duration) bool {
+	return h.superseded || h.sinceLastContact > silence
+}
+
+// needsVoter reports whether one more voter is needed, be it in the place of a lost one.
+func (c membershipSummary) needsVoter(wantedVoters int) bool {
+	return wantedVoters == 0 || c.voters < wantedVoters || (c.voters == wantedVoters && c.lostVoter >= 0)
+}
+
+// isLostVoterReplaced reports whether there is a lost voter, and enough others.
+func (c membershipSummary) isLostVoterReplaced(wantedVoters int) bool {
+	return wantedVoters > 0 && c.voters > wantedVoters && c.lostVoter >= 0
+}
+
 // repairMembership returns a membership that differs by one member and comes
 // closer to the wanted number of voters that answer, and the reason for the
 // change. An empty reason means that no change is needed. A lost voter is removed
@@ -136,11 +163,15 @@
 		members[i] = s.Member
 	}
 	summary := summarize(healths)
-	votesWanted := wantedVoters == 0 || summary.voters < wantedVoters || (summary.voters == wantedVoters && summary.lostVoter >= 0)
+	isReplaced := summary.isLostVoterReplaced(wantedVoters)
 	switch {
-	case wantedVoters > 0 && summary.voters > wantedVoters && summary.lostVoter >= 0:
+	case isReplaced && !healths[summary.lostVoter].isLost(replaceVoterAfter):
+		// It stops, and may come back with its disk.
+		members[summary.lostVoter].Voter = false
+		return members, "voter stops"
+	case isReplaced:
 		return slices.Delete(members, summary.lostVoter, summary.lostVoter+1), "voter lost"
-	case summary.readyLearner >= 0 && votesWanted:
+	case summary.readyLearner >= 0 && summary.needsVoter(wantedVoters):
 		members[summary.readyLearner].Voter = true
 		return members, "learner caught up"
 	case summary.lostLearner >= 0:
--- a/internal/coordinator/membership_test.go
+++ b/internal/coordinator/membership_test.go
@@ -25,6 +25,11 @@
 	return s
 }
 
+func (s memberHealth) thatStops() memberHealth {
+	s.leaving = true
+	return s
+}
+
 func TestMembershipRepairChangesOneMemberAtATime(t *testing.T) {
 	t.Parallel()
 	long := replaceVoterAfter + time.Second
@@ -59,6 +64,25 @@
 			before: []memberHealth{voter("a"), voter("b"), voter("c").withLostDisk(), learner("c2")}, wantedVoters: 3,
 			voters: []string{"a", "b", "c", "c2"}, members: []string{"a", "b", "c", "c2"},
 		},
+		"a learner becomes a voter before a voter stops": {
+			before: []memberHealth{voter("a"), voter("b"), voter("c").thatStops(), learner("d")}, wantedVoters: 3,
+			voters: []string{"a", "b", "c", "d"}, members: []string{"a", "b", "c", "d"},
+		},
+		"a voter that stops becomes a learner after its replacement became a voter": {
+			before: []memberHealth{voter("a"), voter("b"), voter("c").thatStops(), voter("d")}, wantedVoters: 3,
+			voters: []string{"a", "b", "d"}, members: []string{"a", "b", "c", "d"},
+		},
+		"a voter that stops stays without a learner": {
+			before: []memberHealth{voter("a"), voter("b"), voter("c").thatStops()}, wantedVoters: 3,
+		},
+		"a learner that stops does not become a voter": {
+			before: []memberHealth{voter("a"), voter("b"), voter("c").thatStops(), learner("d").thatStops()}, wantedVoters: 3,
+		},
+		"a voter that stops and lost its disk is removed": {
+			before:       []memberHealth{voter("a"), voter("b"), voter("c").thatStops().withLostDisk(), voter("d")},
+			wantedVoters: 3,
+			voters:       []string{"a", "b", "d"}, members: []string{"a", "b", "d"},
+		},
 		"a learner stays a learner while all voters answer": {
 			before: []memberHealth{voter("a"), voter("b"), voter("c"), learner("d")}, wantedVoters: 3,
 		},
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -64,6 +64,8 @@
 	// MessageTimeoutNow is sent by a leader that transfers its leadership: the
 	// receiver starts an election at once.
 	MessageTimeoutNow MessageKind = "campaign"
+	// MessageLeave is sent to the leader by a voter that is about to stop.
+	MessageLeave MessageKind = "leave"
 )
 
 // Message is sent from one member to another. It may be lost, duplicated,
@@ -180,6 +182,8 @@
 	probing bool
 	// probedAt is when probing began.
 	probedAt time.Duration
+	// leavingUntil is the time until which the member is taken for one that stops.
+	leavingUntil time.Duration
 	// highestSent is the highest index of an entry that the member was sent.
 	highestSent uint64
 }
@@ -336,6 +340,8 @@
 		c.handleAppendReply(m)
 	case MessageTimeoutNow:
 		c.handleTimeoutNow(m)
+	case MessageLeave:
+		c.handleLeave(m)
 	}
 }
 
