feat: a caller that finds no leader logs which addresses answered with what

"Nobody finds the leader" could not be told from "there is no quorum". After 1 s without a leader a caller logs, at most once a second, each address that it asked with its result: does not lead, is no member, refused, not connected, no answer; memberAnswered is false if no member is among them, which for a joining member means that it knows none.

--- a/cmd/samphirewick-control/internal/commander/discovery_test.go
+++ b/cmd/samphirewick-control/internal/commander/discovery_test.go
@@ -150,7 +150,7 @@
 	kinds := seedKinds(t)
 	find := map[string]func(ctx context.Context, t *testing.T, seeds []string) error{
 		"entry": func(ctx context.Context, _ *testing.T, seeds []string) error {
-			return caller.New(seeds, nil).Call(ctx, messenger.MethodWatch, struct{}{}, nil)
+			return caller.New(seeds, nil, zap.NewNop()).Call(ctx, messenger.MethodWatch, struct{}{}, nil)
 		},
 		"gateway": func(ctx context.Context, t *testing.T, seeds []string) error {
 			return newIdleGateway(t, seeds).call(ctx, messenger.MethodGetQueue, struct{}{}, nil)
--- a/cmd/samphirewick-control/internal/commander/gateway.go
+++ b/cmd/samphirewick-control/internal/commander/gateway.go
@@ -40,7 +40,7 @@
 	if g.tls, err = transporter.TLSFromSettings(settings.TLS, log); err != nil {
 		return nil, err
 	}
-	g.control = caller.New(settings.Cell.SeedAddresses(), g.tls)
+	g.control = caller.New(settings.Cell.SeedAddresses(), g.tls, log)
 	g.reloader = reloader.New(path, g.reload, log)
 	return g, nil
 }
--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -106,7 +106,7 @@
 		return err
 	}
 	if seeds := m.settings.Cell.SeedAddresses(); len(seeds) > 0 {
-		m.control = caller.New(seeds, m.tls)
+		m.control = caller.New(seeds, m.tls, m.log)
 	}
 	self := replicator.Member{ID: identity.Member, Address: m.settings.Member.Address}
 	m.courier = courier.New(self, m.tls)
--- a/cmd/samphirewick-entry/internal/commander/run.go
+++ b/cmd/samphirewick-entry/internal/commander/run.go
@@ -112,7 +112,7 @@
 // build creates the components in the order of their dependencies.
 func (e *entry) build() {
 	e.meter = meter.New("entry")
-	e.control = caller.New(e.settings.Control.MemberAddresses(), e.tls)
+	e.control = caller.New(e.settings.Control.MemberAddresses(), e.tls, e.log)
 	e.dispatcher = dispatcher.New()
 	e.sender = sender.New()
 	e.forwarder = forwarder.New(e.tls)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/transporter"
@@ -39,6 +41,7 @@
 // every method of control, because each either only reads or is idempotent.
 type Caller struct {
 	tls *tls.Config
+	log *zap.Logger
 
 	mutex   sync.Mutex
 	clients map[string]*transporter.Client
@@ -58,12 +61,18 @@
 	leader string
 	// search is the current search for the leader, or nil.
 	search *search
+	// lastFound is when a search last found the leader, or when the caller was made, and
+	// lastReport when a search without result was last logged.
+	lastFound, lastReport time.Time
 }
 
-// New returns a caller with the addresses as its seeds; a nil TLS configuration means without TLS.
-func New(addresses []string, tlsConfig *tls.Config) *Caller {
+// New returns a caller with the addresses as its seeds; a nil TLS configuration means
+// without TLS. The log receives a line at times while no leader is found.
+func New(addresses []string, tlsConfig *tls.Config, log *zap.Logger) *Caller {
 	return &Caller{
 		tls:            tlsConfig,
+		log:            log,
+		lastFound:      time.Now(),
 		clients:        map[string]*transporter.Client{},
 		avoidUntil:     map[string]time.Time{},
 		answeredAt:     map[string]time.Time{},
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/replicator"
@@ -103,7 +105,7 @@
 	t.Parallel()
 	a, b := newFakeMember(t), newFakeMember(t)
 	a.isLeader.Store(true)
-	c := New([]string{a.address, b.address}, nil)
+	c := New([]string{a.address, b.address}, nil, zap.NewNop())
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -121,7 +123,7 @@
 	t.Parallel()
 	a, unresponsive := newFakeMember(t), newFakeMember(t)
 	unresponsive.unresponsive.Store(true)
-	c := New([]string{unresponsive.address, a.address}, nil)
+	c := New([]string{unresponsive.address, a.address}, nil, zap.NewNop())
 	err := call(t, c, 600*time.Millisecond)
 	var refusal *modeler.RefusalError
 	if !errors.As(err, &refusal) || refusal.Code != modeler.CodeUnavailable {
@@ -137,7 +139,7 @@
 	seed, added := newFakeMember(t), newFakeMember(t)
 	seed.members = []replicator.Member{{ID: "seed", Address: seed.address}, {ID: "added", Address: added.address}}
 	added.isLeader.Store(true)
-	c := New([]string{seed.address}, nil)
+	c := New([]string{seed.address}, nil, zap.NewNop())
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -147,7 +149,7 @@
 	t.Parallel()
 	a := newFakeMember(t)
 	a.isLeader.Store(true)
-	c := New([]string{a.address}, nil)
+	c := New([]string{a.address}, nil, zap.NewNop())
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -163,7 +165,7 @@
 	t.Parallel()
 	frozen, next := newFakeMember(t), newFakeMember(t)
 	frozen.isLeader.Store(true)
-	c := New([]string{frozen.address, next.address}, nil)
+	c := New([]string{frozen.address, next.address}, nil, zap.NewNop())
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -180,7 +182,7 @@
 	t.Parallel()
 	gone, next := newFakeMember(t), newFakeMember(t)
 	next.isLeader.Store(true)
-	c := New([]string{gone.address}, nil)
+	c := New([]string{gone.address}, nil, zap.NewNop())
 	c.SetSeeds([]string{next.address})
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
@@ -193,7 +195,7 @@
 	t.Parallel()
 	slow, other := newFakeMember(t), newFakeMember(t)
 	slow.isLeader.Store(true)
-	c := New([]string{slow.address, other.address}, nil)
+	c := New([]string{slow.address, other.address}, nil, zap.NewNop())
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -229,7 +231,7 @@
 			leader := newFakeMember(t)
 			leader.isLeader.Store(true)
 			leader.isSlow.Store(true)
-			c := New([]string{leader.address}, nil)
+			c := New([]string{leader.address}, nil, zap.NewNop())
 			c.attemptTimeout = 50 * time.Millisecond
 			result := make(chan error, 1)
 			go func() { result <- call(t, c, time.Minute) }()
@@ -260,7 +262,7 @@
 	t.Parallel()
 	leader, silent := newFakeMember(t), newFakeMember(t)
 	leader.isLeader.Store(true)
-	c := New([]string{leader.address, silent.address}, nil)
+	c := New([]string{leader.address, silent.address}, nil, zap.NewNop())
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -282,7 +284,7 @@
 	t.Parallel()
 	leader, follower := newFakeMember(t), newFakeMember(t)
 	leader.isLeader.Store(true)
-	c := New([]string{leader.address, follower.address}, nil)
+	c := New([]string{leader.address, follower.address}, nil, zap.NewNop())
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/caller/locator.go
+++ b/internal/caller/locator.go
@@ -88,11 +88,6 @@
 func (c *Caller) locate(s *search, addresses []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
 	defer cancel()
-	type reply struct {
-		address string
-		answer  messenger.LocateAnswer
-		err     error
-	}
 	replies := make(chan reply, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -102,8 +97,10 @@
 		}()
 	}
 	leader := ""
+	received := make([]reply, 0, len(addresses))
 	for range addresses {
 		r := <-replies
+		received = append(received, r)
 		if r.err != nil {
 			c.resetUnlessLeader(r.address, r.err)
 			continue
@@ -115,6 +112,7 @@
 		}
 	}
 	c.finishSearch(s, leader)
+	c.reportSearch(leader, received)
 }
 
 func (c *Caller) finishSearch(s *search, leader string) {
--- a/internal/caller/outdated_test.go
+++ b/internal/caller/outdated_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/replicator"
@@ -99,9 +101,9 @@
 			}
 			outdated.members = tt.outdated
 			first.leads.Store(true)
-			c := New([]string{seed.address, outdated.address}, nil)
+			c := New([]string{seed.address, outdated.address}, nil, zap.NewNop())
 			if tt.areSeedsChanged {
-				c = New([]string{seed.address}, nil)
+				c = New([]string{seed.address}, nil, zap.NewNop())
 			}
 			if err := call(t, c, 10*time.Second); err != nil {
 				t.Fatal(err)
