fix: an outdated answer does not replace the members that a caller knows

What callers saw: no leader was found again after an answer of a member that was cut off or joins, while there was no leader. Cause: the answer of any member replaced all known addresses but the seeds; the last one won. Change: only the answer of a confirmed leader replaces them.

TestAddressesAreBounded is new.

--- a/cmd/samphirewick-control/internal/commander/discovery_test.go
+++ b/cmd/samphirewick-control/internal/commander/discovery_test.go
@@ -23,6 +23,9 @@
 // discoveryTimeout bounds a call that finds no leader. Several searches fit into it.
 const discoveryTimeout = 3 * time.Second
 
+// maxConcurrentSearches bounds the calls that run at the same time for each kind of process.
+const maxConcurrentSearches = 8
+
 // serveHandler serves calls on a free port until the test ends, and returns its address.
 func serveHandler(t *testing.T, handle transporter.Handler) string {
 	t.Helper()
@@ -166,10 +169,13 @@
 			if process != "entry" {
 				choices = slices.DeleteFunc(choices, func(choice []seedKind) bool { return choice[1].leads })
 			}
-			// All choices wait at the same time, however few processors there are.
+			// Calls that find no leader wait, so that more of them run than there are processors.
+			slots := make(chan struct{}, maxConcurrentSearches)
 			var searches sync.WaitGroup
 			for _, choice := range choices {
+				slots <- struct{}{}
 				searches.Go(func() {
+					defer func() { <-slots }()
 					ctx, cancel := context.WithTimeout(t.Context(), discoveryTimeout)
 					defer cancel()
 					seeds := []string{choice[0].address, choice[1].address, choice[2].address}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -47,8 +47,11 @@
 	clients map[string]*transporter.Client
 	// seeds holds the addresses from the settings.
 	seeds []string
-	// addresses holds the addresses of the known members and the seeds.
-	addresses []string
+	// members holds the addresses that a leader stated last.
+	members []string
+	// rumours holds the addresses that other processes stated, those that were stated or
+	// answered last at the end. They are dropped once a leader has stated the members.
+	rumours []string
 	// attemptTimeout is the constant of that name; tests replace it.
 	attemptTimeout time.Duration
 	// answeredAt is when a member last answered a call, by address.
@@ -77,7 +80,6 @@
 		avoidUntil:     map[string]time.Time{},
 		answeredAt:     map[string]time.Time{},
 		seeds:          addresses,
-		addresses:      addresses,
 		attemptTimeout: attemptTimeout,
 	}
 }
@@ -148,9 +150,10 @@
 func (c *Caller) nextFollower() (*transporter.Client, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for range c.addresses {
+	addresses := c.addressesLocked()
+	for range addresses {
 		c.lastFollower++
-		address := c.addresses[c.lastFollower%len(c.addresses)]
+		address := addresses[c.lastFollower%len(addresses)]
 		if address != c.leader && time.Now().After(c.avoidUntil[address]) {
 			return c.clientLocked(address), true
 		}
--- a/internal/caller/locator.go
+++ b/internal/caller/locator.go
@@ -77,7 +77,7 @@
 	}
 	s := &search{done: make(chan struct{})}
 	c.search = s
-	addresses := slices.DeleteFunc(slices.Clone(c.addresses), func(a string) bool { return a == except })
+	addresses := slices.DeleteFunc(c.addressesLocked(), func(a string) bool { return a == except })
 	go c.locate(s, addresses)
 	return s
 }
@@ -105,11 +105,12 @@
 			c.resetUnlessLeader(r.address, r.err)
 			continue
 		}
-		c.updateAddresses(r.answer)
 		if r.answer.IsLeader {
 			leader = r.address
+			c.learnFromLeader(r)
 			break
 		}
+		c.learn(r)
 	}
 	c.finishSearch(s, leader)
 	c.reportSearch(leader, received)
@@ -156,43 +157,6 @@
 	return client
 }
 
-// updateAddresses replaces the known addresses by those of the answer. It keeps
-// the seeds, because the answer may be outdated.
-func (c *Caller) updateAddresses(answer messenger.LocateAnswer) {
-	addresses := make([]string, 0, len(answer.Members)+len(c.seeds))
-	for _, m := range answer.Members {
-		addresses = append(addresses, m.Address)
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, seed := range c.seeds {
-		if !slices.Contains(addresses, seed) {
-			addresses = append(addresses, seed)
-		}
-	}
-	c.addresses = addresses
-}
-
-// SetSeeds replaces the seeds. The known members stay known until a member
-// returns the current member list.
-func (c *Caller) SetSeeds(seeds []string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.seeds = seeds
-	for _, seed := range seeds {
-		if !slices.Contains(c.addresses, seed) {
-			c.addresses = append(slices.Clone(c.addresses), seed)
-		}
-	}
-}
-
-// Addresses returns the addresses of the known members and the seeds.
-func (c *Caller) Addresses() []string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return slices.Clone(c.addresses)
-}
-
 // HasLeader reports whether the leader is known.
 func (c *Caller) HasLeader() bool {
 	_, ok := c.leaderClient()
--- a/internal/caller/outdated_test.go
+++ b/internal/caller/outdated_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -148,3 +151,31 @@
 		t.Error("a call was answered while there was no leader")
 	}
 }
+
+// TestAddressesAreBounded checks that answers with many addresses neither make a caller
+// ask without bound nor drive out a process that answers, and that only the addresses
+// that the leader states are asked, and connected to, once it is found.
+func TestAddressesAreBounded(t *testing.T) {
+	t.Parallel()
+	c := New([]string{"seed"}, nil, zap.NewNop())
+	c.learn(reply{address: "seed", answer: messenger.LocateAnswer{Members: []replicator.Member{{Address: "live"}}}})
+	for i := range 10 * maxRumours {
+		stated := []replicator.Member{{Address: fmt.Sprint("gone-", i)}}
+		c.learn(reply{address: "seed", answer: messenger.LocateAnswer{Members: stated}})
+		c.learn(reply{address: "live"})
+	}
+	addresses := c.Addresses()
+	if len(addresses) > maxRumours+1 || !slices.Contains(addresses, "live") {
+		t.Errorf("asks %d addresses: %v", len(addresses), addresses)
+	}
+	for _, a := range addresses {
+		c.client(a)
+	}
+	c.learnFromLeader(reply{address: "leader", answer: messenger.LocateAnswer{Members: []replicator.Member{{Address: "live"}}}})
+	if got, want := c.Addresses(), []string{"leader", "live", "seed"}; !slices.Equal(got, want) {
+		t.Errorf("asks %v, want %v", got, want)
+	}
+	if got := slices.Sorted(maps.Keys(c.clients)); !slices.Equal(got, []string{"live", "seed"}) {
+		t.Errorf("keeps connections to %v", got)
+	}
+}
