fix: joining members and gateways pass on every address that they know

What callers saw: with seeds of which only a wiped machine answers, nobody finds the leader, although live members send that machine messages for the member that it was. Cause: a joining member answered locate with an empty list, and its own caller knew only its seeds. A gateway answers by the same function.

TestMemberAsksTheMembersInItsJournal is new; it was not run on the former code.

--- a/cmd/samphirewick-control/internal/commander/discovery_test.go
+++ b/cmd/samphirewick-control/internal/commander/discovery_test.go
@@ -77,9 +77,15 @@
 // newJoiningMember returns a member with an empty disk, which does not run.
 func newJoiningMember(t *testing.T, seeds []string) *member {
 	t.Helper()
-	m := &member{log: zap.NewNop(), disk: faker.NewDisk(1).Open(), settings: loader.Control{
+	return newIdleMember(t, faker.NewDisk(1), loader.Cell{Seeds: seeds, Founding: loader.SwitchOff, Tolerated: 1})
+}
+
+// newIdleMember returns a member that does not run.
+func newIdleMember(t *testing.T, disk *faker.Disk, cell loader.Cell) *member {
+	t.Helper()
+	m := &member{log: zap.NewNop(), disk: disk.Open(), settings: loader.Control{
 		Member:   loader.ControlMember{Name: "joining", Address: "127.0.0.1:1", DataFolder: "data"},
-		Cell:     loader.Cell{Seeds: seeds, Founding: loader.SwitchOff, Tolerated: 1},
+		Cell:     cell,
 		TLS:      loader.TLS{Mutual: loader.SwitchOff},
 		Election: loader.ControlElection{Timeout: time.Second, Heartbeat: 100 * time.Millisecond},
 		Journal:  loader.ControlJournal{SnapshotEvery: 100, KeepEntries: 20},
@@ -215,3 +221,20 @@
 	}
 	return choices
 }
+
+// TestMemberAsksTheMembersInItsJournal checks that a member which was removed while it
+// was off finds the others, although its seeds are gone.
+func TestMemberAsksTheMembersInItsJournal(t *testing.T) {
+	t.Parallel()
+	disk := faker.NewDisk(1)
+	founders := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
+	newIdleMember(t, disk, loader.Cell{Seeds: founders, Founding: loader.SwitchOn, Tolerated: 1})
+	gone := "127.0.0.1:4"
+	m := newIdleMember(t, disk, loader.Cell{Seeds: []string{gone}, Founding: loader.SwitchOff, Tolerated: 1})
+	addresses := m.control.Addresses()
+	for _, want := range append(founders, gone) {
+		if !slices.Contains(addresses, want) {
+			t.Errorf("asks %v, which lacks %s", addresses, want)
+		}
+	}
+}
--- a/cmd/samphirewick-control/internal/commander/gateway.go
+++ b/cmd/samphirewick-control/internal/commander/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/samphirewick/samphirewick/internal/meter"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/reloader"
-	"github.com/samphirewick/samphirewick/internal/replicator"
 	"github.com/samphirewick/samphirewick/internal/runner"
 	"github.com/samphirewick/samphirewick/internal/transporter"
 	"github.com/samphirewick/samphirewick/platform"
@@ -96,11 +95,7 @@
 	if method != messenger.MethodLocate {
 		return nil, modeler.Refuse(modeler.CodeNotLeader, "", "a gateway is no member of control")
 	}
-	var answer messenger.LocateAnswer
-	for _, address := range g.control.Addresses() {
-		answer.Members = append(answer.Members, replicator.Member{Address: address})
-	}
-	return answer, nil
+	return messenger.LocateAnswer{}.WithAddresses(g.control.Addresses()), nil
 }
 
 // health reports that the gateway is ready while it knows a leader.
--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -22,6 +22,7 @@
 	"github.com/samphirewick/samphirewick/internal/journaler"
 	"github.com/samphirewick/samphirewick/internal/loader"
 	"github.com/samphirewick/samphirewick/internal/logger"
+	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/meter"
 	"github.com/samphirewick/samphirewick/internal/reloader"
 	"github.com/samphirewick/samphirewick/internal/replicator"
@@ -141,16 +142,34 @@
 		Scope:           m.meter.Scope,
 		Workflows:       m.workflowOptions(),
 	}, m.log)
-	m.responder = responder.New(m.coordinator, m.manager, responder.Options{
+	options := responder.Options{
 		WorkerLease:   leases.Worker,
 		EntryLease:    leases.Entry,
 		RenewInterval: leases.RenewInterval,
 		LearnAddress:  m.courier.LearnAddress,
 		Log:           m.log,
-	})
+	}
+	if m.control != nil {
+		m.shareAddresses(&options)
+	}
+	m.responder = responder.New(m.coordinator, m.manager, options)
 	return nil
 }
 
+// shareAddresses makes the caller of this member know the members in its journal and those
+// that send it messages, also messages for a member that was at its address before it. What the
+// caller knows, other processes are told.
+func (m *member) shareAddresses(options *responder.Options) {
+	for _, known := range m.coordinator.MemberList() {
+		m.control.AddAddress(known.Address)
+	}
+	options.LearnAddress = func(batch messenger.RaftBatch) {
+		m.courier.LearnAddress(batch)
+		m.control.AddAddress(batch.From.Address)
+	}
+	options.KnownAddresses = m.control.Addresses
+}
+
 // voterCount returns how many members vote; zero means all.
 func (m *member) voterCount() int {
 	if len(m.settings.Cell.Seeds) == 0 {
--- a/internal/caller/addresses.go
+++ b/internal/caller/addresses.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// AddAddress adds an address at which a member may be. It is asked until a leader has
+// stated the members.
+func (c *Caller) AddAddress(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.addRumour(address)
+}
+
 // learn adds the addresses in the answer of a process that does not lead. It may be
 // outdated, so that its answer replaces nothing.
 func (c *Caller) learn(r reply) {
@@ -88,7 +96,8 @@
 // addRumour adds an address that is not known yet. Beyond maxRumours the one goes that
 // neither answered nor was added for the longest time. The caller must hold the mutex.
 func (c *Caller) addRumour(address string) {
-	if address == "" || slices.Contains(c.addressesLocked(), address) {
+	isKnown := slices.Contains(c.members, address) || slices.Contains(c.seeds, address) || slices.Contains(c.rumours, address)
+	if address == "" || isKnown {
 		return
 	}
 	if len(c.rumours) >= maxRumours {
--- a/internal/messenger/workflows.go
+++ b/internal/messenger/workflows.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/replicator"
@@ -89,8 +90,22 @@
 type LocateAnswer struct {
 	Cell string `json:"cell"`
 	// IsLeader reports whether the answering member is confirmed as leader.
-	IsLeader bool                `json:"leads,omitempty"`
-	Members  []replicator.Member `json:"members"`
+	IsLeader bool `json:"leads,omitempty"`
+	// Members may hold members without an ID: addresses at which the answering process
+	// searches for members itself.
+	Members []replicator.Member `json:"members"`
+}
+
+// WithAddresses returns a copy of a that also holds the addresses, unless they are those
+// of members in it.
+func (a LocateAnswer) WithAddresses(addresses []string) LocateAnswer {
+	a.Members = slices.Clone(a.Members)
+	for _, address := range addresses {
+		if !slices.ContainsFunc(a.Members, func(m replicator.Member) bool { return m.Address == address }) {
+			a.Members = append(a.Members, replicator.Member{Address: address})
+		}
+	}
+	return a
 }
 
 // JoinCall requests to join the members. The joining member gets no vote before
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -33,6 +33,9 @@
 	RenewInterval time.Duration
 	// LearnAddress records the address of the member that sent a batch. Never nil.
 	LearnAddress func(batch messenger.RaftBatch)
+	// KnownAddresses returns the addresses of control that the process knows besides the
+	// members. Nil if it knows no others.
+	KnownAddresses func() []string
 	// Log receives a line for each change of a workflow, a session or the queue table. Never nil.
 	Log *zap.Logger
 }
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -100,13 +100,19 @@
 // for 250 ms.
 const locateWait = 150 * time.Millisecond
 
-// locate returns the members that this member knows of, and whether it is the confirmed leader.
+// locate returns the members that this member knows of, and whether it is the confirmed
+// leader. A member that does not lead may be joining, or outdated, and adds all other
+// addresses that it knows.
 func (r *Responder) locate(ctx context.Context, _ json.RawMessage) (any, error) {
-	return messenger.LocateAnswer{
+	answer := messenger.LocateAnswer{
 		Cell:     r.coordinator.Identity().Cell,
 		IsLeader: r.coordinator.AwaitLeadership(ctx, r.coordinator.Leadership().Term, locateWait),
 		Members:  r.coordinator.MemberList(),
-	}, nil
+	}
+	if !answer.IsLeader && r.options.KnownAddresses != nil {
+		answer = answer.WithAddresses(r.options.KnownAddresses())
+	}
+	return answer, nil
 }
 
 // join adds the calling member as a learner. It does nothing if the member is in the list already.
