fix: a call waits for another call's connection only as long as its context allows

What callers saw: searches that should end after 250 ms, and resets, waited for other calls that connected to a machine without power: each held the client's mutex while it dialled, up to 1 s, one after the other. Change: connecting has a slot of its own, which calls wait for until their context ends; the mutex is not held meanwhile, so that a reset waits for nothing.

--- a/internal/transporter/client.go
+++ b/internal/transporter/client.go
@@ -21,13 +21,17 @@
 	// tls is nil if mutual TLS is off.
 	tls *tls.Config
 
+	// connecting holds a value while a call connects. Calls wait for it only as long as
+	// their context allows.
+	connecting chan struct{}
+
 	mutex sync.Mutex
 	rpc   *jsonrpc2.Conn
 }
 
 // NewClient returns a client for the address. It connects at the first call.
 func NewClient(address string, tlsConfig *tls.Config) *Client {
-	return &Client{address: address, tls: tlsConfig}
+	return &Client{address: address, tls: tlsConfig, connecting: make(chan struct{}, 1)}
 }
 
 // Address returns the address of the server.
@@ -77,17 +81,48 @@
 	c.closeConn(rpc)
 }
 
+// connect returns the connection, and opens it if there is none. It does not hold the
+// mutex meanwhile, because a machine without power leaves a connection hanging.
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	if rpc := c.connected(); rpc != nil {
+		return rpc, nil
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case c.connecting <- struct{}{}:
+	}
+	defer func() { <-c.connecting }()
+	if rpc := c.connected(); rpc != nil {
+		return rpc, nil
+	}
+	rpc, err := c.open(ctx)
+	if err != nil {
+		return nil, err
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.rpc != nil {
-		select {
-		case <-c.rpc.DisconnectNotify():
-			c.rpc = nil
-		default:
-			return c.rpc, nil
-		}
+	c.rpc = rpc
+	return rpc, nil
+}
+
+// connected returns the connection, or nil if there is none.
+func (c *Client) connected() *jsonrpc2.Conn {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.rpc == nil {
+		return nil
 	}
+	select {
+	case <-c.rpc.DisconnectNotify():
+		c.rpc = nil
+	default:
+	}
+	return c.rpc
+}
+
+// open opens a connection.
+func (c *Client) open(ctx context.Context) (*jsonrpc2.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
@@ -103,8 +138,7 @@
 	rejectRequests := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no calls are taken here"}
 	})
-	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn), rejectRequests, jsonrpc2.SetLogger(discardLogger{}))
-	return c.rpc, nil
+	return jsonrpc2.NewConn(context.Background(), newStream(conn), rejectRequests, jsonrpc2.SetLogger(discardLogger{})), nil
 }
 
 func (c *Client) closeConn(rpc *jsonrpc2.Conn) {
