--- a/internal/transporter/client.go
+++ b/internal/transporter/client.go
@@ -20,6 +20,8 @@
 	address string
 	// tls is nil if mutual TLS is off.
 	tls *tls.Config
+	// dial opens a TCP connection; tests replace it. Never nil.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	// connecting holds a value while a call connects. Calls wait for it only as long as
 	// their context allows.
@@ -31,7 +33,12 @@
 
 // NewClient returns a client for the address. It connects at the first call.
 func NewClient(address string, tlsConfig *tls.Config) *Client {
-	return &Client{address: address, tls: tlsConfig, connecting: make(chan struct{}, 1)}
+	return &Client{
+		address:    address,
+		tls:        tlsConfig,
+		dial:       (&net.Dialer{}).DialContext,
+		connecting: make(chan struct{}, 1),
+	}
 }
 
 // Address returns the address of the server.
@@ -123,8 +130,9 @@
 
 // open opens a connection.
 func (c *Client) open(ctx context.Context) (*jsonrpc2.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(dialCtx, "tcp", c.address)
 	if err != nil {
 		return nil, err
 	}
