--- a/internal/caller/locator.go
+++ b/internal/caller/locator.go
@@ -15,6 +15,9 @@
 	locateInterval = 2 * time.Second
 	// locateTimeout bounds one search, in which all members are asked at the same time.
 	locateTimeout = 250 * time.Millisecond
+	// searchInterval is the minimum interval of searches that find no leader. It is half of
+	// maxBackoff, so that it hardly delays a call.
+	searchInterval = 50 * time.Millisecond
 )
 
 // errNoLeader reports that none of the members that answered is the leader.
