fix: searches that find no leader start at most every 50 ms

What callers saw: a process with many waiting calls asked every known address hundreds of times a second while there was no leader, just when members restart and elect. Cause: a search among members that answer ends at once, and one of the waiting calls starts the next. Change: a search without result ends 50 ms after its start at the earliest; one that finds the leader ends at once.

TestWaitingCallsShareFewSearches passes (20 searches took 27 ms before, now 950 ms or more).

--- a/internal/caller/locator.go
+++ b/internal/caller/locator.go
@@ -91,6 +91,8 @@
 func (c *Caller) locate(s *search, addresses []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
 	defer cancel()
+	earliestEnd := time.NewTimer(searchInterval)
+	defer earliestEnd.Stop()
 	replies := make(chan reply, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -115,6 +117,9 @@
 		}
 		c.learn(r)
 	}
+	if leader == "" {
+		<-earliestEnd.C
+	}
 	c.finishSearch(s, leader)
 	c.reportSearch(leader, received)
 }
