fix: the name of a task that doesn't exist fails no member

What callers would see: a worker's list with a task of the occurrence ends the leader, and an end of it that is committed ends every member, again at each start. Cause: the occurrence times the number of steps overflows to a negative position, which passes the check against the number of runs. Evidence: TestAbsurdTaskNamesAreIgnored: index out of range [-1] before. Change: the occurrence is compared before it is multiplied. Result: the test passes; no entry in the log can hold such a name's effect, so replay is unchanged.

--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -272,6 +272,10 @@
 	if name.Step < 0 || name.Step >= len(w.Spec.Steps) || name.Occurrence < 0 {
 		return 0, false
 	}
+	// The product of an occurrence that doesn't exist may overflow.
+	if name.Occurrence > len(w.Runs)/len(w.Spec.Steps) {
+		return 0, false
+	}
 	position := name.Occurrence*len(w.Spec.Steps) + name.Step
 	return position, position < len(w.Runs)
 }
