fix: one odd row of a worker's lists neither hides the others nor ends its session

What callers would see: with one row that can't be read, such as an unknown kind of end, every poll of the worker fails: its lease lapses and it is never used again, while it runs. An answer without born ends the session of a worker that runs on, so its tasks run twice. Cause: a row failed the whole answer; a number beyond 64 bits was converted by whatever the processor does; a missing born was read as 0, which is another life. Change: rows that can't be read are left out and counted. Lists with such rows are not full, so nothing is concluded from what they don't list; the ends that were read are committed, and none is acknowledged until the rows before it can be read. Orders go to the address that the state holds for the session.

--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -46,36 +46,6 @@
 	proposeTimeout = 2 * time.Second
 )
 
-// orderPhase is the progress of the order to start an attempt.
-type orderPhase int
-
-const (
-	// orderSending orders are being sent.
-	orderSending orderPhase = iota
-	// orderInherited orders were committed under an earlier leader, which may or may
-	// not have sent them.
-	orderInherited
-	// orderStarted orders were carried out: the worker confirmed it, or lists the attempt
-	// as running.
-	orderStarted
-	// orderUnconfirmed orders got no answer: the worker may carry them out until
-	// their deadline.
-	orderUnconfirmed
-	// orderFenced orders can no longer be carried out.
-	orderFenced
-)
-
-// order is the leader's record of the order to start an attempt.
-type order struct {
-	number int
-	phase  orderPhase
-	// since is when the phase began, by the leader's clock.
-	since time.Duration
-	// stopSentAt is when the last stop was sent; zero if none was.
-	stopSentAt time.Duration
-	checkpoint string
-}
-
 // link is the leader's connection to one session.
 type link struct {
 	supervisor *Supervisor
@@ -95,12 +65,19 @@
 	// starts until a poll is answered.
 	startsBlocked bool
 	orders        map[modeler.TaskName]*order
-	// ackedPosition is the position of the last committed end.
+	// ackedPosition is the position of the last committed end. No row that could not be
+	// read precedes it.
 	ackedPosition uint64
+	// committed holds the positions of the committed ends after ackedPosition.
+	committed map[uint64]struct{}
+	// unread is the number of rows of the last answer that could not be read.
+	unread int
 }
 
 func newLink(s *Supervisor, session modeler.Session, inherited []modeler.TaskName) *link {
-	l := &link{supervisor: s, session: session, orders: map[modeler.TaskName]*order{}}
+	l := &link{
+		supervisor: s, session: session, orders: map[modeler.TaskName]*order{}, committed: map[uint64]struct{}{},
+	}
 	state := s.options.State()
 	for _, name := range inherited {
 		w, _ := state.Workflows.Get(name.Workflow)
@@ -114,6 +91,15 @@
 
 func (l *link) log() *zap.Logger { return l.supervisor.options.Log }
 
+// current returns the session as it is in the state, where its address may have
+// changed, or as it was last known if it has ended.
+func (l *link) current() modeler.Session {
+	if s, ok := l.supervisor.options.State().Sessions.Get(l.session.Key()); ok {
+		return s
+	}
+	return l.session
+}
+
 // isReachable reports whether a poll was answered within the window before now.
 func (l *link) isReachable(now, window time.Duration) bool {
 	l.mutex.Lock()
@@ -136,6 +122,10 @@
 		switch {
 		case err == nil:
 			l.handlePoll(ctx, sent, result)
+			if result.Unread > 0 {
+				// Its ends are not acknowledged, so the worker answers the next poll at once.
+				waitToRetry(ctx)
+			}
 		case errors.Is(err, ErrOtherIncarnation):
 			l.endSession(ctx, err)
 		default:
@@ -296,7 +286,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	result, err := l.supervisor.options.Calls.Start(bounded, l.session, o)
+	result, err := l.supervisor.options.Calls.Start(bounded, l.current(), o)
 	switch {
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrOtherIncarnation):
 		l.commitNotRun(ctx, o.Attempt, err.Error())
@@ -360,7 +350,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := l.supervisor.options.Calls.Stop(bounded, l.session, StopOrder{Attempt: a, Epoch: l.supervisor.options.Epoch})
+	err := l.supervisor.options.Calls.Stop(bounded, l.current(), StopOrder{Attempt: a, Epoch: l.supervisor.options.Epoch})
 	if err != nil {
 		l.log().Info("stop call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
 			zap.String("session", a.Session), zap.Error(err))
@@ -384,7 +374,7 @@
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o := PaceOrder{Attempt: a, Epoch: l.supervisor.options.Epoch, Percent: percent}
-	if err := l.supervisor.options.Calls.Pace(bounded, l.session, o); err != nil {
+	if err := l.supervisor.options.Calls.Pace(bounded, l.current(), o); err != nil {
 		l.log().Info("pace call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
 			zap.String("session", a.Session), zap.Int("percent", percent), zap.Error(err))
 		return
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -46,7 +46,7 @@
 		return
 	}
 	l.supervisor.options.OnRunning(ctx, session, result.Running)
-	ends, last := l.newEnds(result)
+	ends := l.newEnds(result)
 	for _, name := range session.Tasks {
 		w, _ := obs.state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
@@ -68,7 +68,7 @@
 		}
 	}
 	l.dropOldOrders(obs, session)
-	l.commitEnds(ctx, ends, last)
+	l.commitEnds(ctx, ends, result)
 }
 
 // dropOldOrders drops the orders of attempts that the state no longer holds. It
@@ -94,30 +94,32 @@
 		l.log().Info("worker is reachable", zap.String("session", l.session.Key()), zap.Int("running", len(result.Running)))
 	}
 	l.clock = l.clock.withReading(result.Clock, sent, l.now())
+	if result.Unread != l.unread {
+		l.log().Warn("rows of a worker's lists could not be read", zap.String("session", l.session.Key()),
+			zap.Int("rows", result.Unread))
+		l.unread = result.Unread
+	}
 	l.lastAnswer = l.now()
 	l.unresponsive = false
 	l.startsBlocked = false
 }
 
-// newEnds returns the listed ends that are not committed yet, and the position of
-// the last one.
-func (l *link) newEnds(result PollResult) ([]reducer.AttemptEnd, uint64) {
+// newEnds returns the listed ends that are not committed yet.
+func (l *link) newEnds(result PollResult) []reducer.AttemptEnd {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	last := l.ackedPosition
 	var ends []reducer.AttemptEnd
 	for _, e := range result.Ended {
-		if e.Position <= l.ackedPosition {
+		if _, ok := l.committed[e.Position]; ok || e.Position <= l.ackedPosition {
 			continue
 		}
-		last = max(last, e.Position)
 		ends = append(ends, reducer.AttemptEnd{
 			Attempt:    modeler.Attempt{Task: e.Task, Session: l.session.Key(), Number: e.Number},
 			Outcome:    e.Outcome,
 			Checkpoint: e.Checkpoint,
 		})
 	}
-	return ends, last
+	return ends
 }
 
 func (l *link) recordRunning(a modeler.Attempt, r Running) {
@@ -170,25 +172,24 @@
 	return "", false
 }
 
-// commitEnds commits the ends, and then advances the acknowledged position, so that
-// the next poll lets the worker drop them.
-func (l *link) commitEnds(ctx context.Context, ends []reducer.AttemptEnd, last uint64) {
-	if len(ends) == 0 {
-		return
-	}
-	finish := l.supervisor.pending.beginCommit(ends)
-	err := l.supervisor.ends.commit(ctx, ends)
-	finish()
-	if err != nil {
-		waitToRetry(ctx)
-		return
+// commitEnds commits the ends, and then advances the acknowledged position past those
+// that the worker listed, so that the next poll lets the worker drop them.
+func (l *link) commitEnds(ctx context.Context, ends []reducer.AttemptEnd, result PollResult) {
+	if len(ends) > 0 {
+		finish := l.supervisor.pending.beginCommit(ends)
+		err := l.supervisor.ends.commit(ctx, ends)
+		finish()
+		if err != nil {
+			waitToRetry(ctx)
+			return
+		}
 	}
 	for _, e := range ends {
 		l.supervisor.options.OnEnded(e)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.ackedPosition = last
+	l.acknowledgeLocked(result)
 	for _, e := range ends {
 		if o, ok := l.orders[e.Attempt.Task]; ok && o.number <= e.Attempt.Number {
 			delete(l.orders, e.Attempt.Task)
@@ -197,3 +198,19 @@
 			zap.String("session", e.Attempt.Session), zap.String("outcome", string(e.Outcome)))
 	}
 }
+
+// acknowledgeLocked records that the listed ends are committed. It acknowledges none
+// while a row could not be read, since the worker would drop that row too. The caller
+// holds the mutex.
+func (l *link) acknowledgeLocked(result PollResult) {
+	for _, e := range result.Ended {
+		if result.Unread > 0 {
+			l.committed[e.Position] = struct{}{}
+			continue
+		}
+		l.ackedPosition = max(l.ackedPosition, e.Position)
+	}
+	if result.Unread == 0 {
+		clear(l.committed)
+	}
+}
--- /dev/null
+++ b/internal/supervisor/order.go
@@ -0,0 +1,33 @@
+package supervisor
+
+import "time"
+
+// orderPhase is the progress of the order to start an attempt.
+type orderPhase int
+
+const (
+	// orderSending orders are being sent.
+	orderSending orderPhase = iota
+	// orderInherited orders were committed under an earlier leader, which may or may
+	// not have sent them.
+	orderInherited
+	// orderStarted orders were carried out: the worker confirmed it, or lists the attempt
+	// as running.
+	orderStarted
+	// orderUnconfirmed orders got no answer: the worker may carry them out until
+	// their deadline.
+	orderUnconfirmed
+	// orderFenced orders can no longer be carried out.
+	orderFenced
+)
+
+// order is the leader's record of the order to start an attempt.
+type order struct {
+	number int
+	phase  orderPhase
+	// since is when the phase began, by the leader's clock.
+	since time.Duration
+	// stopSentAt is when the last stop was sent; zero if none was.
+	stopSentAt time.Duration
+	checkpoint string
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -94,8 +94,12 @@
 	StartedAtMillis int64
 	Running         []Running
 	Ended           []Ended
-	// Full is true if Ended holds all ends after PollOrder.AckedPosition.
+	// Full is true if the lists hold all attempts that run, and all ends after
+	// PollOrder.AckedPosition.
 	Full bool
+	// Unread is the number of rows that could not be read. Any of them may be about any
+	// attempt, so the lists are not full.
+	Unread int
 }
 
 // Running is an attempt that a worker runs.
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -37,6 +37,8 @@
 	refusing bool
 	// loseStartAnswers makes starts take effect while their answers are lost.
 	loseStartAnswers bool
+	// garbled makes the rows of the worker's lists unreadable.
+	garbled bool
 	// full makes the worker refuse starts with ResultFull.
 	full bool
 	// delayStarts makes starts take effect after the delay, without an answer; zero
@@ -232,6 +234,10 @@
 	for name, number := range f.running {
 		result.Running = append(result.Running, Running{Task: name, Number: number, Checkpoint: "saved"})
 	}
+	if f.garbled {
+		result.Unread = len(result.Running) + len(result.Ended)
+		result.Running, result.Ended, result.Full = nil, nil, result.Unread == 0
+	}
 	return result, o.Wait == 0 || len(f.ends) > 0
 }
 
