fix: what a worker announces is bounded in every field

Change: Session.Validate checks each field against a named bound, before the proposal and in the reducer, so that an entry of an older leader is refused there too and fails no member. The scheduler's tests gave their first worker the port 0; they count from 1 now.

--- a/internal/reducer/sessions.go
+++ b/internal/reducer/sessions.go
@@ -9,7 +9,7 @@
 // of a session that started before the current one.
 func (t *transition) announceSession() *modeler.RefusalError {
 	s := *t.command.Session
-	if refusal := checkSession(s); refusal != nil {
+	if refusal := s.Validate(); refusal != nil {
 		return refusal
 	}
 	for _, other := range Values(t.Sessions) {
@@ -32,22 +32,6 @@
 	return nil
 }
 
-func checkSession(s modeler.Session) *modeler.RefusalError {
-	if refusal := modeler.CheckName("worker", s.Worker); refusal != nil {
-		return refusal
-	}
-	if s.Address == "" {
-		return modeler.Refuse(modeler.CodeInvalid, "address", "missing")
-	}
-	if s.Service == "" {
-		return modeler.Refuse(modeler.CodeInvalid, "service", "missing")
-	}
-	if s.Capacity.IsNegative() {
-		return modeler.Refuse(modeler.CodeInvalid, "capacity", "is negative")
-	}
-	return nil
-}
-
 // endSessions removes sessions whose workers are certain to have stopped.
 func (t *transition) endSessions() *modeler.RefusalError {
 	for _, key := range t.command.Names {
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -21,6 +21,9 @@
 func (r *Responder) announceSession(
 	ctx context.Context, _ *controller.LeaderState, call messenger.AnnounceSessionCall,
 ) (any, error) {
+	if refusal := call.Session.Validate(); refusal != nil {
+		return nil, refusal
+	}
 	if r.KnowsSession(call.Session) {
 		return struct{}{}, nil
 	}
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -102,7 +102,7 @@
 func (f *fixture) announce(workers int) {
 	for i := range workers {
 		f.apply(reducer.Command{Kind: reducer.KindAnnounceSession, Session: &modeler.Session{
-			Worker: fmt.Sprint("w", i), StartedAtMillis: 1, Address: fmt.Sprint("w:", i), Service: "planner",
+			Worker: fmt.Sprint("w", i), StartedAtMillis: 1, Address: fmt.Sprint("w:", i+1), Service: "planner",
 			Rack: fmt.Sprint("r", i%2), Labels: []string{fmt.Sprint("k", i%3)},
 			Capacity: modeler.Resources{Processors: 8},
 		}})
--- a/internal/scheduler/replay_test.go
+++ b/internal/scheduler/replay_test.go
@@ -118,7 +118,7 @@
 	r.apply(reducer.Command{Kind: reducer.KindApplyQueueTable, Table: &table})
 	for i := range workers {
 		r.apply(reducer.Command{Kind: reducer.KindAnnounceSession, Session: &modeler.Session{
-			Worker: fmt.Sprintf("w%03d", i), StartedAtMillis: 1, Address: fmt.Sprint("w:", i), Service: "planner",
+			Worker: fmt.Sprintf("w%03d", i), StartedAtMillis: 1, Address: fmt.Sprint("w:", i+1), Service: "planner",
 			Capacity: modeler.Resources{Processors: workerMillicore, Memory: workerMemory},
 		}})
 	}
