fix: a worker confirms itself before a heartbeat ends or moves a session

What callers would see: one heartbeat of another writer with a later born, under a worker's id or at its address, ends the worker's session: its tasks start elsewhere while they still run there, and its own heartbeats are refused as earlier for good. Cause: a heartbeat was believed, and anyone can send one. Change: before the leader proposes an announcement that would end another session, or move one to another address, it polls the announced address (300 ms, no lease, nothing acknowledged). Another life's answer refuses it (409), no answer too (503, sent again). An announcement of a new worker is not asked for, so its path is unchanged; the reducer is unchanged too, so replay depends on the log alone. If the worker confirms itself, sessions of a later life that were known before it was asked, hold no task and don't answer are ended.

--- /dev/null
+++ b/internal/controller/sessions.go
@@ -0,0 +1,37 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/supervisor"
+)
+
+// askTimeout bounds the call that asks a worker whether it is the one announced. A
+// worker answers within a few milliseconds, and a heartbeat is answered within 800 ms.
+const askTimeout = 300 * time.Millisecond
+
+// AskSession asks the worker at the session's address whether it is in the life that
+// the session describes. The error is supervisor.ErrOtherIncarnation if it is not, and
+// another one if it gave no answer. The call renews no lease and acknowledges no end.
+// Where no worker takes its orders by call, none is asked.
+func (l *LeaderState) AskSession(ctx context.Context, s modeler.Session) error {
+	if l.options.Workflows == nil {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	result, err := l.options.Workflows.Calls.Poll(bounded, s, supervisor.PollOrder{Epoch: l.term})
+	if err == nil && result.StartedAtMillis != s.StartedAtMillis {
+		err = supervisor.ErrOtherIncarnation
+	}
+	return err
+}
+
+// IsSessionReachable reports whether the session's worker has answered this leader's
+// last poll in time.
+func (l *LeaderState) IsSessionReachable(key string) bool {
+	workers := l.supervisor.Load()
+	return workers != nil && workers.Reachability()(key)
+}
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -14,12 +14,13 @@
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/reducer"
 	"github.com/samphirewick/samphirewick/internal/replicator"
+	"github.com/samphirewick/samphirewick/internal/supervisor"
 )
 
 // announceSession commits the changes that a worker's heartbeat announces. It
 // commits nothing if there are none.
 func (r *Responder) announceSession(
-	ctx context.Context, _ *controller.LeaderState, call messenger.AnnounceSessionCall,
+	ctx context.Context, leader *controller.LeaderState, call messenger.AnnounceSessionCall,
 ) (any, error) {
 	if refusal := call.Session.Validate(); refusal != nil {
 		return nil, refusal
@@ -27,6 +28,9 @@
 	if r.KnowsSession(call.Session) {
 		return struct{}{}, nil
 	}
+	if err := r.confirmAnnouncement(ctx, leader, call.Session); err != nil {
+		return nil, err
+	}
 	result, err := r.propose(ctx, reducer.Command{Kind: reducer.KindAnnounceSession, Session: &call.Session})
 	r.options.Log.Info("session announced", zap.String("session", call.Session.Key()),
 		zap.String("address", call.Session.Address), zap.Bool("draining", call.Session.Draining),
@@ -34,6 +38,56 @@
 	return struct{}{}, err
 }
 
+// confirmAnnouncement asks the worker itself before an announcement may end or move a
+// session. Anyone can send a heartbeat, and the worker that holds the session may be
+// running its tasks. It refuses an announcement that the worker doesn't confirm.
+//
+// The worker's answer also refutes conflicting sessions of a later life that were known
+// before it was asked. Those that hold no task and don't answer are ended; as no worker
+// would ever end them, they would keep this one out for good.
+func (r *Responder) confirmAnnouncement(ctx context.Context, leader *controller.LeaderState, s modeler.Session) error {
+	conflicts := conflictingSessions(r.coordinator.State(), s)
+	if len(conflicts) == 0 {
+		return nil
+	}
+	err := leader.AskSession(ctx, s)
+	if errors.Is(err, supervisor.ErrOtherIncarnation) {
+		return modeler.Refuse(modeler.CodeStale, "born", "another life of a worker is at %s", s.Address)
+	}
+	if err != nil {
+		return modeler.Refuse(modeler.CodeUnavailable, "address", "worker at %s doesn't confirm its life: %v", s.Address, err)
+	}
+	var refuted []string
+	for _, other := range conflicts {
+		if other.StartedAtMillis > s.StartedAtMillis && len(other.Tasks) == 0 && !leader.IsSessionReachable(other.Key()) {
+			refuted = append(refuted, other.Key())
+		}
+	}
+	if len(refuted) == 0 {
+		return nil
+	}
+	_, err = r.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, Names: refuted})
+	r.options.Log.Info("sessions ended that no worker confirms", zap.Strings("sessions", refuted),
+		zap.String("confirmed", s.Key()), zap.Error(err))
+	return err
+}
+
+// conflictingSessions returns the sessions that the announcement would end, and the
+// announced session itself if it is at another address.
+func conflictingSessions(state reducer.State, announced modeler.Session) []modeler.Session {
+	var conflicts []modeler.Session
+	for _, other := range reducer.Values(state.Sessions) {
+		sameWorker, sameAddress := other.Worker == announced.Worker, other.Address == announced.Address
+		if sameAddress && other.Key() == announced.Key() {
+			continue
+		}
+		if sameWorker || sameAddress {
+			conflicts = append(conflicts, other)
+		}
+	}
+	return conflicts
+}
+
 // confirmSession answers a heartbeat that announces nothing new on any member, and
 // commits what another one announces on the leader.
 func (r *Responder) confirmSession(ctx context.Context, raw json.RawMessage) (any, error) {
