fix: a job whose amounts, times or number of tasks overflow is refused

What callers would see: 64 steps of 1000 tasks, 1000 times, are 64 million tasks, which every member allocates when it applies the entry, and again at each start. Cause: the number of tasks had no bound in all; products and conversions overflowed; a start after the year 9999 was answered with 500. Evidence: TestAbsurdWorkflowIsRefused (7 cases) and TestOddJobIsRefused (4 of 5) fail before. Change: at most 200,000 tasks, needs within what a worker may offer, times within 90 days and the year 9000.

--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -12,8 +12,18 @@
 	MaxStepsPerWorkflow = 64
 	// MaxOccurrences is the maximum number of times that the steps run.
 	MaxOccurrences = 1000
+	// MaxTasksPerWorkflow is the maximum number of tasks of all steps and occurrences: 200
+	// for each of MaxOccurrences. Every member holds each of them in memory.
+	MaxTasksPerWorkflow = 200_000
 	// MaxPayloadBytes is the maximum size of the payload passed to the tasks.
 	MaxPayloadBytes = 4096
+	// maxDuration bounds each duration, so that sums over steps and multiples by
+	// occurrence stay below the 292 years that a duration can hold: 64 steps or 1000
+	// occurrences of 90 days are 16 or 247 years.
+	maxDuration = 90 * 24 * time.Hour
+	// maxYear is the last year that the text form of a time can hold, less the
+	// occurrences after it.
+	maxYear = 9000
 )
 
 // WorkflowSpec is the specification of a job with several steps. It is the third
@@ -94,13 +104,28 @@
 	if s.Occurrences < 0 || s.Occurrences > MaxOccurrences {
 		return Refuse(CodeInvalid, "occurrences", "%d is not within 0 and %d", s.Occurrences, MaxOccurrences)
 	}
-	if s.Interval < 0 {
-		return Refuse(CodeInvalid, "interval", "is negative")
+	if refusal := s.validateTimes(); refusal != nil {
+		return refusal
 	}
+	tasks := 0
 	for i, step := range s.Steps {
 		if refusal := step.validate(i); refusal != nil {
 			return refusal
 		}
+		tasks += step.Count * max(1, s.Occurrences)
+	}
+	if tasks > MaxTasksPerWorkflow {
+		return Refuse(CodeInvalid, "steps", "%d tasks are more than %d", tasks, MaxTasksPerWorkflow)
+	}
+	return nil
+}
+
+func (s WorkflowSpec) validateTimes() *RefusalError {
+	if s.Interval < 0 || s.Interval > maxDuration {
+		return Refuse(CodeInvalid, "interval", "%s is not within 0 and %s", s.Interval, maxDuration)
+	}
+	if year := s.FirstAt.UTC().Year(); year < 1 || year > maxYear {
+		return Refuse(CodeInvalid, "firstAt", "the year %d is not within 1 and %d", year, maxYear)
 	}
 	return nil
 }
@@ -110,12 +135,15 @@
 	if s.Count < 1 || s.Count > MaxTasksPerJob {
 		return Refuse(CodeInvalid, field("count"), "%d is not within 1 and %d", s.Count, MaxTasksPerJob)
 	}
-	if s.Need.IsNegative() {
-		return Refuse(CodeInvalid, field("need"), "is negative")
+	if refusal := CheckResources(field("need"), s.Need); refusal != nil {
+		return refusal
 	}
-	if s.Estimate < 0 || s.TailLatencyTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
+	if min(s.Estimate, s.TailLatencyTarget) < 0 || min(s.MaxPerWorker, s.MaxUnavailable) < 0 {
 		return Refuse(CodeInvalid, field("estimate"), "durations and bounds may not be negative")
 	}
+	if max(s.Estimate, s.TailLatencyTarget) > maxDuration {
+		return Refuse(CodeInvalid, field("estimate"), "durations may not be above %s", maxDuration)
+	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= position {
 			return Refuse(CodeInvalid, field("dependsOn"), "%d is no earlier step", d)
