fix: a configuration whose times or factors overflow or are negative is refused

Cause: only the timeout was checked, and what a float beyond 64 bits is converted to depends on the processor; the objective of a workflow is such a product. Evidence: TestAbsurdQueueTableIsRefused (8 cases) fails before.

--- a/internal/modeler/queuetable.go
+++ b/internal/modeler/queuetable.go
@@ -124,6 +124,29 @@
 	case q.Timeout <= 0:
 		return Refuse(CodeInvalid, "queues."+q.Name+".timeout", "is not above zero")
 	default:
-		return nil
+		return q.validateNumbers()
 	}
 }
+
+func (q Queue) validateNumbers() *RefusalError {
+	if q.MaxAttempts < 0 {
+		return Refuse(CodeInvalid, "queues."+q.Name+".maxAttempts", "is negative")
+	}
+	if q.DeadlineFactor < 0 || q.DeadlineFactor > maxDeadlineFactor {
+		return Refuse(CodeInvalid, "queues."+q.Name+".stretch", "%g is not within 0 and %d", q.DeadlineFactor, maxDeadlineFactor)
+	}
+	durations := []time.Duration{q.Timeout, q.DeadlineSlack}
+	if p := q.Permit; p != nil {
+		durations = append(durations, p.BaseDelay, p.DelayPerWorker, p.Validity)
+	}
+	for _, d := range durations {
+		if d < 0 || d > maxDuration {
+			return Refuse(CodeInvalid, "queues."+q.Name, "the duration %s is not within 0 and %s", d, maxDuration)
+		}
+	}
+	return nil
+}
+
+// maxDeadlineFactor bounds how many times its longest path a workflow may take. The
+// factors in use are below ten.
+const maxDeadlineFactor = 1000
--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -90,6 +90,10 @@
 // counts as late and no longer as missed. The users' requirements state it.
 const lateFactor = 3
 
+// maxObjective bounds an objective. lateFactor times it is 90 of the 292 years that a
+// duration can hold.
+const maxObjective = 30 * 365 * 24 * time.Hour
+
 // ordered returns the ready steps whose queue is in the state, in the order in
 // which to place them: by queue priority, deadline class, deadline and name.
 func (b *backlog) ordered(state reducer.State, now time.Time) []*readyStep {
@@ -135,7 +139,7 @@
 // classifyDeadline returns the deadline of the workflow, or of its occurrence, by
 // the queue's objective, and its class at the time now.
 func (r *readyStep) classifyDeadline(now time.Time) (time.Time, deadlineClass) {
-	objective := time.Duration(r.queue.DeadlineFactor*float64(r.criticalPath)) + r.queue.DeadlineSlack
+	objective := time.Duration(min(float64(maxObjective), r.queue.DeadlineFactor*float64(r.criticalPath))) + r.queue.DeadlineSlack
 	begin := r.workflow.Submitted
 	if at := r.workflow.DueAt(r.name.Occurrence); !at.IsZero() {
 		begin = at
