--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -156,6 +156,9 @@
 	if err := json.Unmarshal(raw, &batch); err != nil {
 		return nil, modeler.Refuse(modeler.CodeInvalid, "params", "%v", err)
 	}
+	if refusal := checkMessages(batch); refusal != nil {
+		return nil, refusal
+	}
 	r.options.LearnAddress(batch)
 	r.coordinator.Deliver(batch.Cell, batch.Messages)
 	return struct{}{}, nil
