fix: a member that asks to join needs an address that can be called

Change: join and the operator's addition check the address as an announcement does. The test of two calls at once joined at "m3" without a port; it has one now.

--- a/internal/responder/operators.go
+++ b/internal/responder/operators.go
@@ -139,8 +139,8 @@
 	if refusal := modeler.CheckName("id", call.ID); refusal != nil {
 		return nil, refusal
 	}
-	if call.Address == "" {
-		return nil, modeler.Refuse(modeler.CodeInvalid, "address", "missing")
+	if refusal := modeler.CheckAddress("address", call.Address); refusal != nil {
+		return nil, refusal
 	}
 	return r.changeMembers(ctx, "add", call, func(members []replicator.Member) ([]replicator.Member, *modeler.RefusalError) {
 		for _, m := range members {
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -171,8 +171,8 @@
 	if refusal := modeler.CheckName("id", call.ID); refusal != nil {
 		return nil, refusal
 	}
-	if call.Address == "" {
-		return nil, modeler.Refuse(modeler.CodeInvalid, "address", "missing")
+	if refusal := modeler.CheckAddress("address", call.Address); refusal != nil {
+		return nil, refusal
 	}
 	isSame := func(m replicator.Member) bool { return m.ID == call.ID }
 	err := r.coordinator.ChangeMembers(ctx, func(members []replicator.Member) ([]replicator.Member, *modeler.RefusalError) {
--- a/internal/responder/sessions_test.go
+++ b/internal/responder/sessions_test.go
@@ -74,7 +74,7 @@
 		results := make(chan error, 2)
 		for range 2 {
 			go func() {
-				results <- c.call("new member", messenger.MethodJoin, messenger.JoinCall{ID: "m3", Address: "m3"}, nil)
+				results <- c.call("new member", messenger.MethodJoin, messenger.JoinCall{ID: "m3", Address: "m3:1"}, nil)
 			}()
 		}
 		for range 2 {
@@ -84,3 +84,32 @@
 		}
 	})
 }
+
+// TestMemberWithoutAddressDoesNotJoin checks that no member is replicated that no other
+// could ever reach.
+func TestMemberWithoutAddressDoesNotJoin(t *testing.T) {
+	tests := map[string]messenger.JoinCall{
+		"no address":             {ID: "m3"},
+		"no port":                {ID: "m3", Address: "10.0.0.4"},
+		"port out of range":      {ID: "m3", Address: "10.0.0.4:99999999"},
+		"address with spaces":    {ID: "m3", Address: "nowhere at all:80"},
+		"ID with a line break":   {ID: "m3\n", Address: "10.0.0.4:80"},
+		"address without a host": {ID: "m3", Address: ":80"},
+	}
+	for name, call := range tests {
+		t.Run(name, func(t *testing.T) {
+			runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+				c.awaitLeader()
+				// The new member does not run in this cell.
+				c.isolate("m3")
+				c.isolate("m3\n")
+				for _, method := range []string{messenger.MethodJoin, messenger.MethodAddMember} {
+					var refusal *modeler.RefusalError
+					if err := c.call("new member", method, call, nil); !errors.As(err, &refusal) || refusal.Code != modeler.CodeInvalid {
+						t.Errorf("%s: call is answered with %v, want a refusal as invalid", method, err)
+					}
+				}
+			})
+		})
+	}
+}
