fix: a lost leader is replaced as a voter in time, however long the election takes

Callers were served nothing any more if a leader was gone for good, a new machine took its place, and a disk was lost with the power of all others as soon as the new machine had had its time to catch up: 4 voters were left, of which the old leader and the lost disk could not vote.

A new leader counted the silence of each member from its own election, so that the 2.5 s after which a voter is replaced began up to 2 s late when the old leader had asked for patience or votes were split; and the lost voter left with the next check, 0.2 s after its successor became a voter.

A new leader now counts the silence of the leader before it from its last message, and that of others from when they were first asked for their votes. Within one election timeout of its election it counts from there, so that each member has time to answer. The check follows a committed change of the membership with the next tick. It is safe since changes remain of one voter at a time, each proposed after the one before it is committed; only the time at which a silent voter is taken for lost moves.

--- a/internal/coordinator/apply.go
+++ b/internal/coordinator/apply.go
@@ -30,6 +30,7 @@
 func (c *Coordinator) applyEntry(e replicator.Entry) error {
 	c.logBytesSinceSnapshot += len(e.Data)
 	c.logCommittedChange(e)
+	c.membershipChanged = c.membershipChanged || e.Members != nil
 	before := c.State()
 	after := before
 	after.Revision = e.Index
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -138,6 +138,9 @@
 	snapshotBytes         int
 	logBytesSinceSnapshot int
 	nextMembershipCheck   time.Duration
+	// membershipChanged is set once a change of the membership is committed, until the
+	// next check.
+	membershipChanged bool
 	// commitAtLastCheck is the commit index at the last membership check.
 	commitAtLastCheck   uint64
 	nextMissingVoterLog time.Duration
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -29,9 +29,10 @@
 func (c *Coordinator) checkMembership() {
 	now := c.Now()
 	isDue := now >= c.nextMembershipCheck
-	if c.core.Role() != replicator.RoleLeader || (!isDue && !c.isVoterLeaving()) {
+	if c.core.Role() != replicator.RoleLeader || (!isDue && !c.membershipChanged && !c.isVoterLeaving()) {
 		return
 	}
+	c.membershipChanged = false
 	healths := c.memberHealths()
 	next, reason := repairMembership(healths, c.options.Voters)
 	if isDue {
--- a/internal/coordinator/recovery_test.go
+++ b/internal/coordinator/recovery_test.go
@@ -328,3 +328,18 @@
 	}
 	playAll(t, scenarios)
 }
+
+// TestCellRecoversAfterReplacedLeader checks that a leader that was replaced without notice
+// is no voter any more once its successor has caught up, however long elections take.
+func TestCellRecoversAfterReplacedLeader(t *testing.T) {
+	t.Parallel()
+	var scenarios []scenario
+	for _, seed := range []uint64{11, 24, 67, 86} {
+		for v := range 3 {
+			scenarios = append(scenarios, scenario{
+				tolerated: 1, machines: 3, seed: seed, steps: []step{{"cut off", true, 0}, {"replaced", true, 0}}, victims: []int{v},
+			})
+		}
+	}
+	playAll(t, scenarios)
+}
--- a/internal/replicator/contact_test.go
+++ b/internal/replicator/contact_test.go
@@ -39,3 +39,29 @@
 		t.Errorf("a member that led until 0.5 s ago had contact to a leader %v ago", since)
 	}
 }
+
+func TestLastContactOfFormerLeaderCountsFromItsLastMessage(t *testing.T) {
+	t.Parallel()
+	const timeout = time.Second
+	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	c := New(Config{ID: "a", ElectionTimeout: timeout, HeartbeatInterval: timeout / 10},
+		RestoredState{Snapshot: Snapshot{Members: members}}, 0)
+	c.Step(time.Minute, Message{Kind: MessageAppend, From: "b", Term: 1})
+	elected := time.Minute + 3*timeout
+	c.Tick(elected)
+	c.Step(elected, Message{Kind: MessagePreVoteReply, From: "c", Term: 2})
+	c.Step(elected, Message{Kind: MessageVoteReply, From: "c", Term: 2})
+	if c.Role() != RoleLeader {
+		t.Fatal("the member was not elected")
+	}
+	if since := c.SinceLastContact("b"); since != 0 {
+		t.Errorf("time since last contact to the former leader is %v at the election, want 0", since)
+	}
+	c.Tick(elected + timeout)
+	if since := c.SinceLastContact("b"); since != 4*timeout {
+		t.Errorf("time since last contact to the former leader is %v, want %v", since, 4*timeout)
+	}
+	if since := c.SinceLastContact("c"); since != timeout {
+		t.Errorf("time since last contact to the voter is %v, want %v", since, timeout)
+	}
+}
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -39,6 +39,9 @@
 // whether they would vote for this member, and leaves the term unchanged.
 func (c *Core) campaign(preVote bool) {
 	c.leader, c.leaderPatience = "", 0
+	if c.role == RoleFollower {
+		c.campaignSince = c.now
+	}
 	c.votes = map[string]bool{c.config.ID: true}
 	c.resetElectionDeadline()
 	kind, term := MessageVote, c.hardState.Term+1
@@ -133,6 +136,9 @@
 	c.votes = nil
 	c.peers = map[string]*progress{}
 	c.updatePeers()
+	for id, p := range c.peers {
+		p.trackedSince = c.silentSince(id)
+	}
 	c.appendEntry(Entry{})
 	// The work that has waited for a leader arrives at once.
 	c.setPatience(max(c.patience, c.config.ElectionTimeout))
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"slices"
-	"time"
 )
 
 // The errors of Propose and ProposeMembers. A proposal that was refused with
@@ -146,15 +145,3 @@
 	}
 	return c.lastIndex() - p.matchIndex, c.now-p.ackedSentAt < c.config.ElectionTimeout+c.patience
 }
-
-// SinceLastContact returns the time since the leader sent the latest message
-// that the member has answered. For a member that has never answered it counts
-// from the leader's election, or from when the member was added, whichever is
-// later. It returns zero for this member itself and for unknown members.
-func (c *Core) SinceLastContact(id string) time.Duration {
-	p, ok := c.peers[id]
-	if !ok {
-		return 0
-	}
-	return c.now - max(p.ackedSentAt, p.trackedSince, c.electedAt)
-}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -187,7 +187,7 @@
 }
 
 func (c *Core) recordLeaderContact(m Message) {
-	c.leader = m.From
+	c.leader, c.lastLeader = m.From, m.From
 	c.lastLeaderContact = c.now
 	c.leaderPatience = min(m.Patience, c.maxPatience())
 	c.resetElectionDeadline()
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -217,6 +217,10 @@
 	currentAsOf time.Duration
 	// nextHeartbeat is when a leader sends the next heartbeats.
 	nextHeartbeat time.Duration
+	// lastLeader is the last leader that this member has followed.
+	lastLeader string
+	// campaignSince is when the current or last series of elections began.
+	campaignSince time.Duration
 	// electedAt is when the member became leader.
 	electedAt time.Duration
 	// transferring is set on a leader that transfers its leadership: it holds no
