fix: of several lost voters the one that lost its disk is removed first

With two voters lost and one replacement, the last one in the membership was removed, be it one that was only silent or about to stop, while one whose disk is lost, and which can never vote again, stayed a voter.

A voter that lost its disk goes first, then the one that has been silent for longest. One voter changes at a time as before, so the choice cannot make quorums disjoint.

Run: three cases added to TestMembershipRepairChangesOneMemberAtATime failed before and pass; all tests of the coordinator pass without the race detector.

--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -110,7 +110,8 @@
 // that a repair may change; -1 stands for none.
 type membershipSummary struct {
 	voters int
-	// lostVoter is a voter that does not answer, has lost its disk or is about to stop.
+	// lostVoter is a voter that has lost its disk, or else the one of those that do not
+	// answer or are about to stop that has been silent for longest.
 	lostVoter int
 	// readyLearner is the first learner that has caught up.
 	readyLearner int
@@ -126,7 +127,7 @@
 		}
 		switch {
 		case s.Voter && (s.leaving || s.isLost(replaceVoterAfter)):
-			c.lostVoter = i
+			c.lostVoter = moreLost(healths, c.lostVoter, i)
 		case s.Voter:
 		case s.isLost(removeLearnerAfter):
 			c.lostLearner = i
@@ -143,6 +144,19 @@
 	return h.superseded || h.sinceLastContact > silence
 }
 
+// moreLost returns the position of the member that is less likely to vote again: it has
+// lost its disk, or has not answered for longer. A negative position stands for no member.
+func moreLost(healths []memberHealth, first, second int) int {
+	if first < 0 {
+		return second
+	}
+	a, b := healths[first], healths[second]
+	if a.superseded == b.superseded && b.sinceLastContact > a.sinceLastContact || b.superseded && !a.superseded {
+		return second
+	}
+	return first
+}
+
 // needsVoter reports whether one more voter is needed, be it in the place of a lost one.
 func (c membershipSummary) needsVoter(wantedVoters int) bool {
 	return wantedVoters == 0 || c.voters < wantedVoters || (c.voters == wantedVoters && c.lostVoter >= 0)
--- a/internal/coordinator/membership_test.go
+++ b/internal/coordinator/membership_test.go
@@ -64,6 +64,27 @@
 			before: []memberHealth{voter("a"), voter("b"), voter("c").withLostDisk(), learner("c2")}, wantedVoters: 3,
 			voters: []string{"a", "b", "c", "c2"}, members: []string{"a", "b", "c", "c2"},
 		},
+		"a voter that lost its disk is removed before one that does not answer": {
+			before: []memberHealth{
+				voter("a"), voter("b").withLostDisk(), voter("c").withoutContact(long), voter("b2"),
+			},
+			wantedVoters: 3,
+			voters:       []string{"a", "c", "b2"}, members: []string{"a", "c", "b2"},
+		},
+		"the voter that has not answered for longest is removed": {
+			before: []memberHealth{
+				voter("a"), voter("b").withoutContact(2 * long), voter("c").withoutContact(long), voter("d"),
+			},
+			wantedVoters: 3,
+			voters:       []string{"a", "c", "d"}, members: []string{"a", "c", "d"},
+		},
+		"a voter that does not answer is removed before one that stops": {
+			before: []memberHealth{
+				voter("a"), voter("b").withoutContact(long), voter("c").thatStops(), voter("d"),
+			},
+			wantedVoters: 3,
+			voters:       []string{"a", "c", "d"}, members: []string{"a", "c", "d"},
+		},
 		"a learner becomes a voter before a voter stops": {
 			before: []memberHealth{voter("a"), voter("b"), voter("c").thatStops(), learner("d")}, wantedVoters: 3,
 			voters: []string{"a", "b", "c", "d"}, members: []string{"a", "b", "c", "d"},
