--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -43,11 +43,6 @@
 	removeLearnerAfter = 20 * time.Second
 	// missingVoterLogInterval is the minimum interval of the log line on a missing voter.
 	missingVoterLogInterval = 500 * time.Millisecond
-	// minLargeLogBytes is the length of the log from which on a snapshot may be due although
-	// the log has few entries. A member reads that many in a fifth of a second.
-	minLargeLogBytes = 4 << 20
-	// maxLogToSnapshot is how many times as long as the snapshot a log of few entries may be.
-	maxLogToSnapshot = 4
 	// diskCheckInterval is how often the free space on the disk is checked.
 	diskCheckInterval = time.Second
 )
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -241,55 +240,3 @@
 		c.options.Log.Warn("free space on disk crossed the reserve", zap.Bool("full", full), zap.Uint64("freeBytes", free))
 	}
 }
-
-// startSnapshot passes the state to the encoder if a snapshot is due and none is
-// in progress.
-func (c *Coordinator) startSnapshot() {
-	state := c.State()
-	if c.snapshotInProgress || !c.isSnapshotDue(state.Revision) {
-		return
-	}
-	c.snapshotInProgress = true
-	c.logBytesSinceSnapshot = 0
-	c.statesToEncode <- state
-}
-
-// isSnapshotDue reports whether the log since the last snapshot has at least
-// SnapshotEvery entries, and at least as many bytes as that snapshot. The second
-// condition keeps the cost of snapshots in proportion to the cost of the log,
-// however large the state is. A log of fewer entries is due once it has several times as
-// many bytes as the snapshot: a member with an empty disk has to read all of it.
-func (c *Coordinator) isSnapshotDue(revision uint64) bool {
-	if revision >= c.lastSnapshotIndex+c.options.SnapshotEvery {
-		return c.logBytesSinceSnapshot >= c.snapshotBytes
-	}
-	return c.logBytesSinceSnapshot >= max(minLargeLogBytes, maxLogToSnapshot*c.snapshotBytes)
-}
-
-// encodeSnapshots encodes states until ctx is done. It runs in its own
-// goroutine, so that the event loop is not blocked meanwhile.
-func (c *Coordinator) encodeSnapshots(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case state := <-c.statesToEncode:
-			data, err := state.Encode()
-			if err != nil {
-				return err
-			}
-			c.encodedSnapshots <- replicator.Snapshot{Index: state.Revision, Data: json.RawMessage(data)}
-		}
-	}
-}
-
-func (c *Coordinator) handleEncodedSnapshot(s replicator.Snapshot) error {
-	c.snapshotInProgress = false
-	if s.Index <= c.lastSnapshotIndex {
-		return nil
-	}
-	c.lastSnapshotIndex, c.snapshotBytes = s.Index, len(s.Data)
-	snapshot := c.core.TakeSnapshot(s.Index, s.Data, c.options.KeepEntries)
-	c.options.Log.Info("snapshot taken", zap.Uint64("index", s.Index), zap.Int("bytes", len(s.Data)))
-	return c.options.Journal.Compact(snapshot, c.core.EntriesAfterSnapshot())
-}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -13,18 +13,34 @@
 	// probeAfterHeartbeats is the number of heartbeat intervals without any reply
 	// after which a member is probed.
 	probeAfterHeartbeats = 3
-	// maxInFlightEntries is how many entries above its matchIndex a member may
-	// have been sent before the leader sends it no more of them.
-	maxInFlightEntries = 4096
-	// maxBatchBytes bounds the entries in one message, in bytes, unless it holds a single
-	// one. A member that reads 1 MB/s answers each within probeAfterHeartbeats.
-	maxBatchBytes = 128 << 10
-	// maxInFlightBytes is how many bytes of entries above its matchIndex a member may have
-	// been sent before the leader sends it no more of them. A heartbeat waits behind them:
-	// for 20 ms on a link of 200 Mbit/s.
-	maxInFlightBytes = 4 * maxBatchBytes
 )
 
+// progress is the replication progress of another member, as the leader knows it.
+type progress struct {
+	// matchIndex is the index of the last entry known to be on the member's disk.
+	matchIndex uint64
+	// nextIndex is the index of the next entry to send; it is always above matchIndex.
+	nextIndex uint64
+	// ackedSentAt is the latest SentAt of a message that the member has answered.
+	ackedSentAt time.Duration
+	// answeredAt is when an answer of the member last arrived; zero if none has.
+	answeredAt time.Duration
+	// trackedSince is when this leader began to track the member.
+	trackedSince time.Duration
+	// snapshotSentAt is when a snapshot was sent whose reply is outstanding; zero if there is none.
+	snapshotSentAt time.Duration
+	// probing is set while nextIndex is not confirmed to match the member's
+	// log. The member then gets appends without entries, one per heartbeat or
+	// reply. It ends with the answer to a message that was sent at probedAt or later.
+	probing bool
+	// probedAt is when probing began.
+	probedAt time.Duration
+	// leavingUntil is the time until which the member is taken for one that stops.
+	leavingUntil time.Duration
+	// highestSent is the highest index of an entry that the member was sent.
+	highestSent uint64
+}
+
 func (c *Core) lastIndex() uint64 {
 	return c.compactedIndex + uint64(len(c.entries))
 }
@@ -112,15 +128,6 @@
 	p.nextIndex = nextIndex
 }
 
-// sendNewEntries sends the entries that the member has not been sent yet, until it has
-// too many unacknowledged ones. It sends none while the member is probed or awaits a
-// snapshot.
-func (c *Core) sendNewEntries(id string, p *progress) {
-	for !p.probing && p.snapshotSentAt == 0 && p.nextIndex <= c.lastIndex() && !c.isWindowFull(p) {
-		c.sendAppend(id, p)
-	}
-}
-
 // sendAppend sends an append, or a snapshot if the log no longer holds the
 // entries that the member needs. The append carries no entries if the member is
 // probed or has too many unacknowledged entries.
@@ -168,33 +175,6 @@
 	c.sendBeforeSync(Message{Kind: MessageSnapshot, To: id, Snapshot: &snapshot, SentAt: c.now, Patience: c.patience})
 }
 
-// isWindowFull reports whether the member has so many unacknowledged entries that it is
-// sent no more.
-func (c *Core) isWindowFull(p *progress) bool {
-	if p.nextIndex-p.matchIndex > maxInFlightEntries {
-		return true
-	}
-	inFlight := 0
-	for index := max(p.matchIndex, c.compactedIndex) + 1; index < p.nextIndex; index++ {
-		inFlight += len(c.entries[index-c.compactedIndex-1].Data)
-	}
-	return inFlight >= maxInFlightBytes
-}
-
-// lastOfBatch returns the index of the last entry that fits into one message after the
-// entry at previousIndex. A message holds at least one entry, if there is one.
-func (c *Core) lastOfBatch(previousIndex uint64) uint64 {
-	last := max(previousIndex, min(c.lastIndex(), previousIndex+uint64(c.config.MaxBatch)))
-	size := 0
-	for index := previousIndex + 1; index <= last; index++ {
-		size += len(c.entries[index-c.compactedIndex-1].Data)
-		if size > maxBatchBytes {
-			return max(index-1, previousIndex+1)
-		}
-	}
-	return last
-}
-
 func (c *Core) handleAppend(m Message) {
 	if c.role != RoleFollower {
 		c.becomeFollower(m.Term, m.From)
@@ -393,28 +373,3 @@
 		c.becomeFollower(c.hardState.Term, "")
 	}
 }
-
-// TakeSnapshot records data as the snapshot at index, which must have been
-// applied, and compacts the log. For members that are slightly behind it keeps up to
-// keepEntries entries before index, as long as they are no longer than the snapshot.
-func (c *Core) TakeSnapshot(index uint64, data json.RawMessage, keepEntries uint64) Snapshot {
-	c.snapshot = Snapshot{Index: index, Term: c.termAt(index), Members: c.membersAt(index), Data: data}
-	compactTo := index
-	for kept := 0; compactTo > c.compactedIndex && index-compactTo < keepEntries; compactTo-- {
-		if kept += len(c.entries[compactTo-c.compactedIndex-1].Data); kept > len(data) {
-			break
-		}
-	}
-	c.compactedTerm = c.termAt(compactTo)
-	c.entries = slices.Clone(c.entries[compactTo-c.compactedIndex:])
-	c.compactedIndex = compactTo
-	for len(c.memberships) > 1 && c.memberships[1].index <= compactTo {
-		c.memberships = c.memberships[1:]
-	}
-	return c.snapshot
-}
-
-// EntriesAfterSnapshot returns the entries of the log after the snapshot.
-func (c *Core) EntriesAfterSnapshot() []Entry {
-	return slices.Clone(c.entries[c.snapshot.Index-c.compactedIndex:])
-}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -162,32 +162,6 @@
 	members []Member
 }
 
-// progress is the replication progress of another member, as the leader knows it.
-type progress struct {
-	// matchIndex is the index of the last entry known to be on the member's disk.
-	matchIndex uint64
-	// nextIndex is the index of the next entry to send; it is always above matchIndex.
-	nextIndex uint64
-	// ackedSentAt is the latest SentAt of a message that the member has answered.
-	ackedSentAt time.Duration
-	// answeredAt is when an answer of the member last arrived; zero if none has.
-	answeredAt time.Duration
-	// trackedSince is when this leader began to track the member.
-	trackedSince time.Duration
-	// snapshotSentAt is when a snapshot was sent whose reply is outstanding; zero if there is none.
-	snapshotSentAt time.Duration
-	// probing is set while nextIndex is not confirmed to match the member's
-	// log. The member then gets appends without entries, one per heartbeat or
-	// reply. It ends with the answer to a message that was sent at probedAt or later.
-	probing bool
-	// probedAt is when probing began.
-	probedAt time.Duration
-	// leavingUntil is the time until which the member is taken for one that stops.
-	leavingUntil time.Duration
-	// highestSent is the highest index of an entry that the member was sent.
-	highestSent uint64
-}
-
 // Core is the consensus state of one member. It is not safe for concurrent use.
 type Core struct {
 	config Config
