fix: a member that names another one's address takes the vote from it

What callers would see: a control process that joins with the address of another one by mistake makes the leader replace a voter that answers, or itself, in its next two checks; a wrong announcement shrinks what the cell can lose.

Cause: a member was taken for one that has lost its disk as soon as a later one had its address.

Evidence: with the former rule two of the four cases of TestVoterThatAnswersIsNotSuperseded fail.

Change: it also has to be silent for longer than the election time-out. After a lost disk it is, for as long as its process takes to start.

--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -17,8 +17,8 @@
 	// sinceLastContact is the time since the leader last had contact to the
 	// member; zero for the leader itself.
 	sinceLastContact time.Duration
-	// superseded is true if a member that was added later has the same address,
-	// which means that this one has lost its disk.
+	// superseded is true if the member is silent and one that was added later has the same
+	// address, which means that this one has lost its disk.
 	superseded bool
 	// leaving is true if the member has said that it is about to stop.
 	leaving bool
@@ -98,14 +98,20 @@
 			health.sinceLastContact = c.core.SinceLastContact(m.ID)
 			health.leaving = c.core.IsLeaving(m.ID)
 		}
-		for _, later := range members[i+1:] {
-			health.superseded = health.superseded || later.Address == m.Address
-		}
+		health.superseded = isSuperseded(m, members[i+1:], health.sinceLastContact, c.options.Core.ElectionTimeout)
 		healths[i] = health
 	}
 	return healths
 }
 
+// isSuperseded reports whether one of the members that were added later is at the address
+// of the member, which has been silent for longer than the time. A member that answers is
+// at its address itself, whatever another one says of its own.
+func isSuperseded(m replicator.Member, later []replicator.Member, silence, atLeast time.Duration) bool {
+	isAtSameAddress := func(other replicator.Member) bool { return other.Address == m.Address }
+	return silence > atLeast && slices.ContainsFunc(later, isAtSameAddress)
+}
+
 // membershipSummary counts the voters, and holds the positions of the members
 // that a repair may change; -1 stands for none.
 type membershipSummary struct {
--- a/internal/coordinator/membership_test.go
+++ b/internal/coordinator/membership_test.go
@@ -163,3 +163,29 @@
 	}
 	return true
 }
+
+// TestVoterThatAnswersIsNotSuperseded checks that a member which names the address of
+// another one takes no vote from it while it answers.
+func TestVoterThatAnswersIsNotSuperseded(t *testing.T) {
+	t.Parallel()
+	const timeout = 300 * time.Millisecond
+	tests := map[string]struct {
+		laterAddress string
+		silence      time.Duration
+		want         bool
+	}{
+		"another address":                       {laterAddress: "b", silence: time.Second},
+		"its address, while it answers":         {laterAddress: "a", silence: timeout},
+		"its address, and it does not answer":   {laterAddress: "a", silence: timeout + 1, want: true},
+		"its address, and it leads the members": {laterAddress: "a"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			later := []replicator.Member{{ID: "later", Address: tt.laterAddress}}
+			if got := isSuperseded(replicator.Member{ID: "m", Address: "a", Voter: true}, later, tt.silence, timeout); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
