fix: a learner that lacks many megabytes gets a vote

What callers would see: commits stop for up to half a second when a lost voter is replaced while the configuration is large and changes often.

Cause: a learner counts as caught up with 100 entries missing, whatever their size, 36 MB in the worst case; with the lost voter the cell then needs its answer.

TestLearnerThatLacksLargeEntriesGetsNoVote fails without the second condition.

Change: the missing entries must not be larger than 1 MiB either.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,8 +31,10 @@
 	// tickInterval is how often the core is ticked.
 	tickInterval = 20 * time.Millisecond
 	// maxPromotionLag is the maximum number of entries that a learner may be behind what
-	// was committed one membership check before, to become a voter.
-	maxPromotionLag = 100
+	// was committed one membership check before, to become a voter. maxPromotionLagBytes is
+	// the maximum size of these entries, which a member reads in a tenth of a second.
+	maxPromotionLag      = 100
+	maxPromotionLagBytes = 1 << 20
 	// membershipCheckInterval is how often the leader checks the membership.
 	membershipCheckInterval = 200 * time.Millisecond
 	// replaceVoterAfter is the time without contact to a voter after which a
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -92,9 +92,9 @@
 	for i, m := range members {
 		health := memberHealth{Member: m}
 		if m.ID != c.Identity().Member {
-			lag, active := c.core.Lag(m.ID)
+			_, active := c.core.Lag(m.ID)
 			// Answers to the latest entries are on their way, the more the busier the cell is.
-			health.ready = active && c.core.LastIndex()-lag+maxPromotionLag >= c.commitAtLastCheck
+			health.ready = active && hasCaughtUp(c.core.Missing(m.ID, c.commitAtLastCheck))
 			health.sinceLastContact = c.core.SinceLastContact(m.ID)
 			health.leaving = c.core.IsLeaving(m.ID)
 		}
@@ -104,6 +104,12 @@
 	return healths
 }
 
+// hasCaughtUp reports whether a member that lacks the entries of that size can vote: until
+// it has read them, the cell has to wait for it if another voter is lost.
+func hasCaughtUp(missing uint64, size int) bool {
+	return missing <= maxPromotionLag && size <= maxPromotionLagBytes
+}
+
 // isSuperseded reports whether one of the members that were added later is at the address
 // of the member, which has been silent for longer than the time. A member that answers is
 // at its address itself, whatever another one says of its own.
--- a/internal/coordinator/membership_test.go
+++ b/internal/coordinator/membership_test.go
@@ -189,3 +189,27 @@
 		})
 	}
 }
+
+// TestLearnerThatLacksLargeEntriesGetsNoVote checks that a cell that has lost a voter does
+// not come to depend on a member that has much to read.
+func TestLearnerThatLacksLargeEntriesGetsNoVote(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		missing uint64
+		size    int
+		want    bool
+	}{
+		"it has all entries":         {want: true},
+		"it lacks few entries":       {missing: 100, size: 20_000, want: true},
+		"it lacks many entries":      {missing: 101, size: 20_000},
+		"it lacks few large entries": {missing: 99, size: 36 << 20},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if got := hasCaughtUp(tt.missing, tt.size); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -145,3 +145,14 @@
 	}
 	return c.lastIndex() - p.matchIndex, c.now-p.ackedSentAt < c.config.ElectionTimeout+c.patience
 }
+
+// Missing returns the number and the total size of the entries up to index that are not
+// known to be on the member's disk. Of entries that the log no longer holds the size is
+// not counted.
+func (c *Core) Missing(id string, index uint64) (uint64, int) {
+	p, ok := c.peers[id]
+	if !ok || p.matchIndex >= index {
+		return 0, 0
+	}
+	return index - p.matchIndex, c.entryBytes(p.matchIndex, index)
+}
--- a/internal/replicator/window.go
+++ b/internal/replicator/window.go
@@ -5,7 +5,7 @@
 	// have been sent before the leader sends it no more of them.
 	maxInFlightEntries = 4096
 	// maxBatchBytes bounds the entries in one message, in bytes, unless it holds a single
-	// one. A member that reads 1 MB/s answers each within probeAfterHeartbeats.
+	// one. A member that reads 1 MB/s reads it in an eighth of a second.
 	maxBatchBytes = 128 << 10
 	// maxInFlightBytes is how many bytes of entries above its matchIndex a member may have
 	// been sent before the leader sends it no more of them. A heartbeat waits behind them:
@@ -28,11 +28,16 @@
 	if p.nextIndex-p.matchIndex > maxInFlightEntries {
 		return true
 	}
-	inFlight := 0
-	for index := max(p.matchIndex, c.compactedIndex) + 1; index < p.nextIndex; index++ {
-		inFlight += len(c.entries[index-c.compactedIndex-1].Data)
+	return c.entryBytes(p.matchIndex, p.nextIndex-1) >= maxInFlightBytes
+}
+
+// entryBytes returns the size of the entries in the log after one index up to another.
+func (c *Core) entryBytes(after, upTo uint64) int {
+	size := 0
+	for index := max(after, c.compactedIndex) + 1; index <= min(upTo, c.lastIndex()); index++ {
+		size += len(c.entries[index-c.compactedIndex-1].Data)
 	}
-	return inFlight >= maxInFlightBytes
+	return size
 }
 
 // lastOfBatch returns the index of the last entry that fits into one message after the
