fix: all messages of a turn to a member are one call

What callers would see: a member with much to read answers late, and is probed as silent.

Cause: the messages to a member were joined into one call, so that the bound on the size of a message did not bound what a member reads before it answers.

Evidence: found in review, by reading.

Change: each message is sent by itself.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -379,20 +379,17 @@
 	return nil
 }
 
+// send sends each message by itself, so that a member answers one before it has read the next.
 func (c *Coordinator) send(messages []replicator.Message) {
-	if len(messages) == 0 {
-		return
-	}
-	for _, m := range c.core.Members() {
-		var addressed []replicator.Message
-		for _, message := range messages {
-			if message.To == m.ID {
-				addressed = append(addressed, message)
+	members := c.core.Members()
+	for _, message := range messages {
+		// A member that is not in the membership may be the leader that has just added this one.
+		recipient := replicator.Member{ID: message.To}
+		for _, m := range members {
+			if m.ID == message.To {
+				recipient = m
 			}
 		}
-		if len(addressed) > 0 {
-			c.options.Send(m, c.Identity().Cell, addressed)
-		}
+		c.options.Send(recipient, c.Identity().Cell, []replicator.Message{message})
 	}
-	c.sendToUnknownMembers(messages)
 }
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -216,18 +216,6 @@
 	c.pending[index] = pendingProposal{c.core.Term(), p.reply}
 }
 
-// sendToUnknownMembers sends messages to members that are not in the membership
-// that this member knows, such as replies to the leader that has just added it.
-func (c *Coordinator) sendToUnknownMembers(messages []replicator.Message) {
-	members := c.core.Members()
-	for _, m := range messages {
-		isRecipient := func(k replicator.Member) bool { return k.ID == m.To }
-		if !slices.ContainsFunc(members, isRecipient) {
-			c.options.Send(replicator.Member{ID: m.To}, c.Identity().Cell, []replicator.Message{m})
-		}
-	}
-}
-
 func (c *Coordinator) checkDisk() {
 	now := c.Now()
 	if now < c.nextDiskCheck {
--- a/internal/replicator/largeentries_test.go
+++ b/internal/replicator/largeentries_test.go
@@ -13,7 +13,7 @@
 // time after which a message is lost.
 func TestEmptyMemberCatchesUpThoughEntriesAreLarge(t *testing.T) {
 	t.Parallel()
-	const entryBytes = 20 << 10
+	const entryBytes, maxWaitingBytes = 20 << 10, 1 << 20
 	tests := map[string]struct {
 		// entries is how many large entries precede the empty member, and readBytes how
 		// many bytes a member reads in a step.
@@ -38,7 +38,12 @@
 			empty := c.instanceByID("empty")
 			c.bytesPerStep = tt.readBytes
 			c.proposeMembers(leader, append(slices.Clone(leader.core.Members()), replicator.Member{ID: "empty"}))
-			c.run(tt.within)
+			for until := c.now + tt.within; c.now < until; {
+				c.run(stepInterval)
+				if waiting := c.waitingBytes("empty"); waiting > maxWaitingBytes {
+					t.Fatalf("%d bytes are on their way to the empty member, want at most %d", waiting, maxWaitingBytes)
+				}
+			}
 			if leader.core.Role() != replicator.RoleLeader {
 				t.Errorf("the leader was replaced while the empty member caught up")
 			}
--- a/internal/replicator/network_test.go
+++ b/internal/replicator/network_test.go
@@ -122,3 +122,14 @@
 	}
 	c.inFlight = append(waiting, c.inFlight...)
 }
+
+// waitingBytes returns the size of the messages that the member has not read completely.
+func (c *cell) waitingBytes(id string) int {
+	size := 0
+	for _, f := range c.inFlight {
+		if f.message.To == id {
+			size += messageSize(f.message)
+		}
+	}
+	return size
+}
