--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,15 +1,32 @@
 #!/usr/bin/env bash
 # Vets every module and runs its tests with the race detector. Failing tests that
 # are listed in KNOWN-RED.txt are printed but don't fail the run; any other does.
-set -u
+# On arm64 the race detector itself crashes in the tests of the coordinator, which run
+# many timers in virtual time: there they run without it.
+set -u -o pipefail
 cd "$(dirname "$0")/.." || exit 1
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
 status=0
+
+# without_race greps the packages whose tests run without the race detector.
+without_race() {
+  case $(uname -m) in
+    aarch64 | arm64) grep "$@" '/internal/coordinator$' ;;
+    *) grep "$@" '^$' ;;
+  esac
+}
+
 for module in . cmd/samphirewick cmd/samphirewick-control cmd/samphirewick-entry cmd/samphirewick-standin; do
-  (cd "$module" && go vet ./... && go test -race -count=1 -timeout 30m ./...) 2>&1 | tee -a "$log"
+  (cd "$module" && go vet ./... && go list ./... | without_race -v | xargs go test -race -count=1 -timeout 30m) 2>&1 | tee -a "$log"
   [ "${PIPESTATUS[0]}" -eq 0 ] || status=1
 done
+plain=$(go list ./... | without_race)
+if [ -n "$plain" ]; then
+  # shellcheck disable=SC2086 # one argument a package
+  go test -count=1 -timeout 30m $plain 2>&1 | tee -a "$log"
+  [ "${PIPESTATUS[0]}" -eq 0 ] || status=1
+fi
 [ "$status" -eq 0 ] && exit 0
 
 known() { sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null; }
