--- a/internal/caller/addresses.go
+++ b/internal/caller/addresses.go
@@ -6,9 +6,9 @@
 	"github.com/samphirewick/samphirewick/internal/transporter"
 )
 
-// maxRumours bounds the addresses that are asked on the word of processes other than the
+// maxUnconfirmed bounds the addresses that are asked on the word of processes other than the
 // leader. A cell has fewer members.
-const maxRumours = 32
+const maxUnconfirmed = 32
 
 // Addresses returns all addresses at which the caller searches for the leader.
 func (c *Caller) Addresses() []string {
@@ -17,11 +17,11 @@
 	return c.addressesLocked()
 }
 
-// addressesLocked returns the seeds, the members and the rumours. The caller must hold the
-// mutex.
+// addressesLocked returns the members, the seeds and the unconfirmed addresses. The caller
+// must hold the mutex.
 func (c *Caller) addressesLocked() []string {
-	addresses := make([]string, 0, len(c.seeds)+len(c.members)+len(c.rumours))
-	for _, list := range [][]string{c.members, c.seeds, c.rumours} {
+	addresses := make([]string, 0, len(c.seeds)+len(c.members)+len(c.unconfirmed))
+	for _, list := range [][]string{c.members, c.seeds, c.unconfirmed} {
 		for _, a := range list {
 			if a != "" && !slices.Contains(addresses, a) {
 				addresses = append(addresses, a)
@@ -39,7 +39,7 @@
 	former := c.seeds
 	c.seeds = slices.Clone(seeds)
 	for _, a := range former {
-		c.addRumour(a)
+		c.addUnconfirmed(a)
 	}
 }
 
@@ -48,7 +48,7 @@
 func (c *Caller) AddAddress(address string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.addRumour(address)
+	c.addUnconfirmed(address)
 }
 
 // learn adds the addresses in the answer of a process that does not lead. It may be
@@ -57,9 +57,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, m := range r.answer.Members {
-		c.addRumour(m.Address)
+		c.addUnconfirmed(m.Address)
 	}
-	c.confirmRumour(r.address)
+	c.recordUnconfirmedAnswer(r.address)
 }
 
 // learnFromLeader replaces all addresses but the seeds by those that the leader stated,
@@ -80,7 +80,7 @@
 			c.members = append(c.members, m.Address)
 		}
 	}
-	c.rumours = nil
+	c.unconfirmed = nil
 	known := c.addressesLocked()
 	var unused []*transporter.Client
 	for address, client := range c.clients {
@@ -93,22 +93,22 @@
 	return unused
 }
 
-// addRumour adds an address that is not known yet. Beyond maxRumours the one goes that
+// addUnconfirmed adds an address that is not known yet. Beyond maxUnconfirmed the one goes that
 // neither answered nor was added for the longest time. The caller must hold the mutex.
-func (c *Caller) addRumour(address string) {
-	isKnown := slices.Contains(c.members, address) || slices.Contains(c.seeds, address) || slices.Contains(c.rumours, address)
+func (c *Caller) addUnconfirmed(address string) {
+	isKnown := slices.Contains(c.members, address) || slices.Contains(c.seeds, address) || slices.Contains(c.unconfirmed, address)
 	if address == "" || isKnown {
 		return
 	}
-	if len(c.rumours) >= maxRumours {
-		c.rumours = slices.Delete(c.rumours, 0, 1)
+	if len(c.unconfirmed) >= maxUnconfirmed {
+		c.unconfirmed = slices.Delete(c.unconfirmed, 0, 1)
 	}
-	c.rumours = append(c.rumours, address)
+	c.unconfirmed = append(c.unconfirmed, address)
 }
 
-// confirmRumour notes that the address answered. The caller must hold the mutex.
-func (c *Caller) confirmRumour(address string) {
-	if i := slices.Index(c.rumours, address); i >= 0 {
-		c.rumours = append(slices.Delete(c.rumours, i, i+1), address)
+// recordUnconfirmedAnswer notes that the address answered. The caller must hold the mutex.
+func (c *Caller) recordUnconfirmedAnswer(address string) {
+	if i := slices.Index(c.unconfirmed, address); i >= 0 {
+		c.unconfirmed = append(slices.Delete(c.unconfirmed, i, i+1), address)
 	}
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -49,9 +49,9 @@
 	seeds []string
 	// members holds the addresses that a leader stated last.
 	members []string
-	// rumours holds the addresses that other processes stated, those that were stated or
+	// unconfirmed holds the addresses that other processes stated, those that were stated or
 	// answered last at the end. They are dropped once a leader has stated the members.
-	rumours []string
+	unconfirmed []string
 	// attemptTimeout is the constant of that name; tests replace it.
 	attemptTimeout time.Duration
 	// answeredAt is when a member last answered a call, by address.
--- a/internal/caller/outdated_test.go
+++ b/internal/caller/outdated_test.go
@@ -159,13 +159,13 @@
 	t.Parallel()
 	c := New([]string{"seed"}, nil, zap.NewNop())
 	c.learn(reply{address: "seed", answer: messenger.LocateAnswer{Members: []replicator.Member{{Address: "live"}}}})
-	for i := range 10 * maxRumours {
+	for i := range 10 * maxUnconfirmed {
 		stated := []replicator.Member{{Address: fmt.Sprint("gone-", i)}}
 		c.learn(reply{address: "seed", answer: messenger.LocateAnswer{Members: stated}})
 		c.learn(reply{address: "live"})
 	}
 	addresses := c.Addresses()
-	if len(addresses) > maxRumours+1 || !slices.Contains(addresses, "live") {
+	if len(addresses) > maxUnconfirmed+1 || !slices.Contains(addresses, "live") {
 		t.Errorf("asks %d addresses: %v", len(addresses), addresses)
 	}
 	for _, a := range addresses {
