--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/oops"
 	"go.uber.org/zap"
 
 	"github.com/samphirewick/samphirewick/internal/caller"
@@ -22,6 +23,7 @@
 	"github.com/samphirewick/samphirewick/internal/journaler"
 	"github.com/samphirewick/samphirewick/internal/loader"
 	"github.com/samphirewick/samphirewick/internal/logger"
+	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/meter"
 	"github.com/samphirewick/samphirewick/internal/reloader"
 	"github.com/samphirewick/samphirewick/internal/replicator"
@@ -86,15 +88,42 @@
 		return err
 	}
 	if m.disk, err = journaler.OpenDisk(settings.Member.DataFolder); err != nil {
+		m.logStartError(err)
 		return err
 	}
 	defer func() { _ = m.disk.Close() }()
 	if err := m.build(); err != nil {
+		m.logStartError(err)
 		return err
 	}
 	return m.serve()
 }
 
+// logStartError logs why the member does not start, and the file that it could not use.
+func (m *member) logStartError(err error) {
+	fields := []zap.Field{zap.String("folder", m.settings.Member.DataFolder), zap.Error(err)}
+	if oopsError, ok := oops.AsOops(err); ok {
+		fields = append(fields, zap.Any("code", oopsError.Code()), zap.Any("file", oopsError.Context()["file"]))
+	}
+	m.log.Error("member not started", fields...)
+}
+
+// logRestored logs what the member starts with.
+func (m *member) logRestored(journal *journaler.Journal, restored replicator.RestoredState) {
+	voters := 0
+	for _, other := range m.coordinator.MemberList() {
+		if other.Voter {
+			voters++
+		}
+	}
+	m.log.Info("journal restored", zap.String("member", m.coordinator.Identity().Member),
+		zap.Uint64("snapshotIndex", restored.Snapshot.Index),
+		zap.Uint64("lastIndex", restored.Snapshot.Index+uint64(len(restored.Entries))),
+		zap.Uint64("commit", max(restored.Snapshot.Index, restored.Commit)),
+		zap.Uint64("term", restored.HardState.Term), zap.String("vote", restored.HardState.Vote),
+		zap.Int("voters", voters), zap.Int("tornBytes", journal.TornBytes()))
+}
+
 // build creates the components in the order of their dependencies.
 func (m *member) build() error {
 	identity, err := loadIdentity(m.disk, m.settings)
@@ -106,7 +135,7 @@
 		return err
 	}
 	if seeds := m.settings.Cell.SeedAddresses(); len(seeds) > 0 {
-		m.control = caller.New(seeds, m.tls)
+		m.control = caller.New(seeds, m.tls, m.log)
 	}
 	self := replicator.Member{ID: identity.Member, Address: m.settings.Member.Address}
 	m.courier = courier.New(self, m.tls)
@@ -129,6 +158,7 @@
 	if err != nil {
 		return err
 	}
+	m.logRestored(journal, restored)
 	m.meter = meter.New("control")
 	leases := m.settings.Leases
 	m.manager = controller.NewManager(m.coordinator, controller.Options{
@@ -141,16 +171,34 @@
 		Scope:           m.meter.Scope,
 		Workflows:       m.workflowOptions(),
 	}, m.log)
-	m.responder = responder.New(m.coordinator, m.manager, responder.Options{
+	options := responder.Options{
 		WorkerLease:   leases.Worker,
 		EntryLease:    leases.Entry,
 		RenewInterval: leases.RenewInterval,
 		LearnAddress:  m.courier.LearnAddress,
 		Log:           m.log,
-	})
+	}
+	if m.control != nil {
+		m.shareAddresses(&options)
+	}
+	m.responder = responder.New(m.coordinator, m.manager, options)
 	return nil
 }
 
+// shareAddresses makes the caller of this member know the members in its journal and those
+// that send it messages, also messages for a member that was at its address before it. What the
+// caller knows, other processes are told.
+func (m *member) shareAddresses(options *responder.Options) {
+	for _, known := range m.coordinator.MemberList() {
+		m.control.AddAddress(known.Address)
+	}
+	options.LearnAddress = func(batch messenger.RaftBatch) {
+		m.courier.LearnAddress(batch)
+		m.control.AddAddress(batch.From.Address)
+	}
+	options.KnownAddresses = m.control.Addresses
+}
+
 // voterCount returns how many members vote; zero means all.
 func (m *member) voterCount() int {
 	if len(m.settings.Cell.Seeds) == 0 {
@@ -221,7 +269,7 @@
 	m.log.Info("member started", zap.String("member", m.coordinator.Identity().Member),
 		zap.String("cell", m.coordinator.Identity().Cell), zap.Uint64("revision", m.coordinator.State().Revision))
 	err = runner.Run(context.Background(),
-		m.transferLeadership,
+		m.handOver,
 		func(ctx context.Context) error { return server.Serve(ctx, listener) },
 		m.manager.Run,
 		m.coordinator.Run,
@@ -237,16 +285,17 @@
 	return errors.Join(err, m.meter.Close())
 }
 
-// transferTimeout bounds the wait for another member to become leader.
-const transferTimeout = 500 * time.Millisecond
+// handOverTimeout bounds the wait for other members to take over the leadership and the
+// vote of this one.
+const handOverTimeout = time.Second
 
-// transferLeadership transfers the leadership to another member when ctx ends,
+// handOver hands the leadership and the vote of this member over to others when ctx ends,
 // before the other components stop.
-func (m *member) transferLeadership(ctx context.Context) error {
+func (m *member) handOver(ctx context.Context) error {
 	<-ctx.Done()
-	transferCtx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+	handOverCtx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	m.coordinator.TransferLeadership(transferCtx)
+	m.coordinator.HandOver(handOverCtx)
 	return nil
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/transporter"
@@ -39,13 +41,17 @@
 // every method of control, because each either only reads or is idempotent.
 type Caller struct {
 	tls *tls.Config
+	log *zap.Logger
 
 	mutex   sync.Mutex
 	clients map[string]*transporter.Client
 	// seeds holds the addresses from the settings.
 	seeds []string
-	// addresses holds the addresses of the known members and the seeds.
-	addresses []string
+	// members holds the addresses that a leader stated last.
+	members []string
+	// rumours holds the addresses that other processes stated, those that were stated or
+	// answered last at the end. They are dropped once a leader has stated the members.
+	rumours []string
 	// attemptTimeout is the constant of that name; tests replace it.
 	attemptTimeout time.Duration
 	// answeredAt is when a member last answered a call, by address.
@@ -58,17 +64,22 @@
 	leader string
 	// search is the current search for the leader, or nil.
 	search *search
+	// lastFound is when a search last found the leader, or when the caller was made, and
+	// lastReport when a search without result was last logged.
+	lastFound, lastReport time.Time
 }
 
-// New returns a caller with the addresses as its seeds; a nil TLS configuration means without TLS.
-func New(addresses []string, tlsConfig *tls.Config) *Caller {
+// New returns a caller with the addresses as its seeds; a nil TLS configuration means
+// without TLS. The log receives a line at times while no leader is found.
+func New(addresses []string, tlsConfig *tls.Config, log *zap.Logger) *Caller {
 	return &Caller{
 		tls:            tlsConfig,
+		log:            log,
+		lastFound:      time.Now(),
 		clients:        map[string]*transporter.Client{},
 		avoidUntil:     map[string]time.Time{},
 		answeredAt:     map[string]time.Time{},
 		seeds:          addresses,
-		addresses:      addresses,
 		attemptTimeout: attemptTimeout,
 	}
 }
@@ -139,9 +150,10 @@
 func (c *Caller) nextFollower() (*transporter.Client, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for range c.addresses {
+	addresses := c.addressesLocked()
+	for range addresses {
 		c.lastFollower++
-		address := c.addresses[c.lastFollower%len(c.addresses)]
+		address := addresses[c.lastFollower%len(addresses)]
 		if address != c.leader && time.Now().After(c.avoidUntil[address]) {
 			return c.clientLocked(address), true
 		}
--- a/internal/caller/locator.go
+++ b/internal/caller/locator.go
@@ -15,6 +15,9 @@
 	locateInterval = 2 * time.Second
 	// locateTimeout bounds one search, in which all members are asked at the same time.
 	locateTimeout = 250 * time.Millisecond
+	// searchInterval is the minimum interval of searches that find no leader. It is half of
+	// maxBackoff, so that it hardly delays a call.
+	searchInterval = 50 * time.Millisecond
 )
 
 // errNoLeader reports that none of the members that answered is the leader.
@@ -77,7 +80,7 @@
 	}
 	s := &search{done: make(chan struct{})}
 	c.search = s
-	addresses := slices.DeleteFunc(slices.Clone(c.addresses), func(a string) bool { return a == except })
+	addresses := slices.DeleteFunc(c.addressesLocked(), func(a string) bool { return a == except })
 	go c.locate(s, addresses)
 	return s
 }
@@ -88,11 +91,8 @@
 func (c *Caller) locate(s *search, addresses []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
 	defer cancel()
-	type reply struct {
-		address string
-		answer  messenger.LocateAnswer
-		err     error
-	}
+	earliestEnd := time.NewTimer(searchInterval)
+	defer earliestEnd.Stop()
 	replies := make(chan reply, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -102,19 +102,26 @@
 		}()
 	}
 	leader := ""
+	received := make([]reply, 0, len(addresses))
 	for range addresses {
 		r := <-replies
+		received = append(received, r)
 		if r.err != nil {
 			c.resetUnlessLeader(r.address, r.err)
 			continue
 		}
-		c.updateAddresses(r.answer)
 		if r.answer.IsLeader {
 			leader = r.address
+			c.learnFromLeader(r)
 			break
 		}
+		c.learn(r)
+	}
+	if leader == "" {
+		<-earliestEnd.C
 	}
 	c.finishSearch(s, leader)
+	c.reportSearch(leader, received)
 }
 
 func (c *Caller) finishSearch(s *search, leader string) {
@@ -158,43 +165,6 @@
 	return client
 }
 
-// updateAddresses replaces the known addresses by those of the answer. It keeps
-// the seeds, because the answer may be outdated.
-func (c *Caller) updateAddresses(answer messenger.LocateAnswer) {
-	addresses := make([]string, 0, len(answer.Members)+len(c.seeds))
-	for _, m := range answer.Members {
-		addresses = append(addresses, m.Address)
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, seed := range c.seeds {
-		if !slices.Contains(addresses, seed) {
-			addresses = append(addresses, seed)
-		}
-	}
-	c.addresses = addresses
-}
-
-// SetSeeds replaces the seeds. The known members stay known until a member
-// returns the current member list.
-func (c *Caller) SetSeeds(seeds []string) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.seeds = seeds
-	for _, seed := range seeds {
-		if !slices.Contains(c.addresses, seed) {
-			c.addresses = append(slices.Clone(c.addresses), seed)
-		}
-	}
-}
-
-// Addresses returns the addresses of the known members and the seeds.
-func (c *Caller) Addresses() []string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return slices.Clone(c.addresses)
-}
-
 // HasLeader reports whether the leader is known.
 func (c *Caller) HasLeader() bool {
 	_, ok := c.leaderClient()
--- a/internal/journaler/disk.go
+++ b/internal/journaler/disk.go
@@ -18,15 +18,18 @@
 // Disk gives access to the files of one data folder by name. No field is nil.
 // Tests replace the fields.
 type Disk struct {
-	List     func() ([]string, error)
-	Read     func(name string) ([]byte, error)
-	Append   func(name string, data []byte) error
+	List   func() ([]string, error)
+	Read   func(name string) ([]byte, error)
+	Append func(name string, data []byte) error
+	// Sync returns once the content of the file is on disk, whoever has written it.
 	Sync     func(name string) error
 	Truncate func(name string, size int64) error
 	// Replace writes a file atomically: after a crash either the old or the new
 	// content is there. It returns once the new content is on disk.
 	Replace func(name string, data []byte) error
 	Remove  func(name string) error
+	// SyncFolder returns once the names of the files are on disk.
+	SyncFolder func() error
 	// FreeBytes returns the free space on the disk.
 	FreeBytes func() (uint64, error)
 	Close     func() error
@@ -35,7 +38,7 @@
 // folder is a data folder in the file system.
 type folder struct {
 	path string
-	// openFile is the file that was appended to last, with the name openName;
+	// openFile is the file that was appended to or synced last, with the name openName;
 	// nil if there is none.
 	openFile *os.File
 	openName string
@@ -58,15 +61,16 @@
 	}
 	f := &folder{path: path}
 	return Disk{
-		List:      f.list,
-		Read:      f.read,
-		Append:    f.append,
-		Sync:      f.sync,
-		Truncate:  f.truncate,
-		Replace:   f.replace,
-		Remove:    f.remove,
-		FreeBytes: f.freeBytes,
-		Close:     func() error { return errors.Join(f.closeOpen(), lock.Close()) },
+		List:       f.list,
+		Read:       f.read,
+		Append:     f.append,
+		Sync:       f.sync,
+		Truncate:   f.truncate,
+		Replace:    f.replace,
+		Remove:     f.remove,
+		SyncFolder: f.syncFolder,
+		FreeBytes:  f.freeBytes,
+		Close:      func() error { return errors.Join(f.closeOpen(), lock.Close()) },
 	}, nil
 }
 
@@ -87,21 +91,30 @@
 }
 
 func (f *folder) append(name string, data []byte) error {
-	if f.openName != name || f.openFile == nil {
-		if err := f.closeOpen(); err != nil {
-			return err
-		}
-		file, err := os.OpenFile(filepath.Join(f.path, name), os.O_APPEND|os.O_WRONLY, fileMode)
-		if err != nil {
-			return err
-		}
-		f.openFile = file
-		f.openName = name
+	if err := f.open(name); err != nil {
+		return err
 	}
 	_, err := f.openFile.Write(data)
 	return err
 }
 
+// open makes the named file the open one.
+func (f *folder) open(name string) error {
+	if f.openName == name && f.openFile != nil {
+		return nil
+	}
+	if err := f.closeOpen(); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(filepath.Join(f.path, name), os.O_APPEND|os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	f.openFile = file
+	f.openName = name
+	return nil
+}
+
 func (f *folder) closeOpen() error {
 	if f.openFile == nil {
 		return nil
@@ -112,8 +125,8 @@
 }
 
 func (f *folder) sync(name string) error {
-	if f.openName != name || f.openFile == nil {
-		return nil
+	if err := f.open(name); err != nil {
+		return err
 	}
 	return syscall.Fdatasync(int(f.openFile.Fd()))
 }
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -51,20 +51,29 @@
 	// commitIndex is the highest commit index that Save was given or Open has
 	// read. It is written along with the next record.
 	commitIndex uint64
+	// tornBytes is the number of bytes that Open has cut off at the end of the log.
+	tornBytes int
 	// writeError is the error of a failed write. After one, Save writes nothing more.
 	writeError error
 }
 
+// TornBytes returns the number of bytes of an incomplete frame that Open has removed from
+// the end of the log.
+func (j *Journal) TornBytes() int { return j.tornBytes }
+
 // Open reads the journal on the disk, or creates it if there is none.
 // initialMembers is the membership before the first entry. The error has
 // CodeDamaged or CodeDisk.
 func Open(disk Disk, initialMembers []replicator.Member) (*Journal, replicator.RestoredState, error) {
-	names, err := disk.List()
-	if err != nil {
-		return nil, replicator.RestoredState{}, diskError(err, "list", "")
+	// A killed process may have renamed files without syncing the folder.
+	if err := disk.SyncFolder(); err != nil {
+		return nil, replicator.RestoredState{}, diskError(err, "sync folder", "")
 	}
-	slices.Sort(names)
 	j := &Journal{disk: disk}
+	names, err := j.list()
+	if err != nil {
+		return nil, replicator.RestoredState{}, err
+	}
 	restored := replicator.RestoredState{Snapshot: replicator.Snapshot{Members: initialMembers}}
 	snapshotName := latestFile(names, snapshotPrefix)
 	if snapshotName != "" {
@@ -89,6 +98,27 @@
 	return j, restored, j.removeSuperseded(names, snapshotName)
 }
 
+// list returns the names of the files, sorted. It removes the unfinished files that a crash
+// has left, which may hold the space that the next file needs.
+func (j *Journal) list() ([]string, error) {
+	names, err := j.disk.List()
+	if err != nil {
+		return nil, diskError(err, "list", "")
+	}
+	var finished []string
+	for _, name := range names {
+		if !strings.HasPrefix(name, temporaryPrefix) {
+			finished = append(finished, name)
+			continue
+		}
+		if err := j.disk.Remove(name); err != nil {
+			return nil, diskError(err, "remove", name)
+		}
+	}
+	slices.Sort(finished)
+	return finished, nil
+}
+
 func latestFile(names []string, prefix string) string {
 	for _, name := range slices.Backward(names) {
 		if _, ok := parseName(name, prefix); ok {
@@ -152,25 +182,35 @@
 		}
 		rest = after
 	}
+	// A killed process may have appended records that it did not sync.
+	if err := j.disk.Sync(j.logFile); err != nil {
+		return j.fail(err, "sync")
+	}
 	restored.HardState = j.hardState
 	restored.Commit = j.commitIndex
-	restored.Entries = entriesAfter(restored.Snapshot, baseIndex, entries)
+	if restored.Snapshot.Index < baseIndex {
+		return damagedError(j.logFile, "the snapshot before its first entry is missing")
+	}
+	following, ok := entriesAfter(restored.Snapshot, baseIndex, entries)
+	if !ok {
+		// What is saved from now on follows the snapshot, so it must not be appended to this log.
+		return j.startLog(restored.Snapshot.Index, nil)
+	}
+	restored.Entries = following
 	return nil
 }
 
-// entriesAfter returns the entries that follow the snapshot. It returns none if
-// the log does not hold the entry at the index of the snapshot with its term.
-func entriesAfter(s replicator.Snapshot, baseIndex uint64, entries []replicator.Entry) []replicator.Entry {
+// entriesAfter returns the entries that follow the snapshot, and whether the log
+// continues the snapshot: it starts there, or holds the entry at the index of the
+// snapshot with its term.
+func entriesAfter(s replicator.Snapshot, baseIndex uint64, entries []replicator.Entry) ([]replicator.Entry, bool) {
 	if s.Index == baseIndex {
-		return entries
+		return entries, true
 	}
-	if s.Index < baseIndex || s.Index > baseIndex+uint64(len(entries)) {
-		return nil
+	if s.Index > baseIndex+uint64(len(entries)) || entries[s.Index-baseIndex-1].Term != s.Term {
+		return nil, false
 	}
-	if entries[s.Index-baseIndex-1].Term != s.Term {
-		return nil
-	}
-	return entries[s.Index-baseIndex:]
+	return entries[s.Index-baseIndex:], true
 }
 
 // truncateTornTail removes an incomplete frame that a crash left at the end of
@@ -183,6 +223,7 @@
 	if err := j.disk.Truncate(j.logFile, int64(validLength)); err != nil {
 		return diskError(err, "truncate", j.logFile)
 	}
+	j.tornBytes = len(data) - validLength
 	return nil
 }
 
@@ -243,7 +284,6 @@
 	if j.writeError != nil {
 		return j.writeError
 	}
-	hardState := j.hardState
 	frame, err := encodeFrame(s)
 	if err != nil {
 		return err
@@ -252,29 +292,38 @@
 	if err := j.disk.Replace(snapshotName, frame); err != nil {
 		return j.fail(err, "write snapshot")
 	}
-	frame, err = encodeFrame(record{HardState: &hardState, Entries: entries, Commit: j.commitIndex})
+	if err := j.startLog(s.Index, entries); err != nil {
+		return err
+	}
+	names, err := j.list()
 	if err != nil {
 		return err
 	}
-	j.logFile = fileName(logPrefix, s.Index)
+	return j.removeSuperseded(names, snapshotName)
+}
+
+// startLog writes the log that follows the snapshot at index. It holds the hard state and
+// the entries.
+func (j *Journal) startLog(index uint64, entries []replicator.Entry) error {
+	hardState := j.hardState
+	frame, err := encodeFrame(record{HardState: &hardState, Entries: entries, Commit: j.commitIndex})
+	if err != nil {
+		return err
+	}
+	j.logFile = fileName(logPrefix, index)
 	if err := j.disk.Replace(j.logFile, frame); err != nil {
 		return j.fail(err, "write log")
 	}
-	names, err := j.disk.List()
-	if err != nil {
-		return j.fail(err, "list")
-	}
-	return j.removeSuperseded(names, snapshotName)
+	return nil
 }
 
-// removeSuperseded removes the snapshots and logs that newer ones have replaced, and
-// the temporary files that a crash has left.
+// removeSuperseded removes the snapshots and logs that newer ones have replaced.
 func (j *Journal) removeSuperseded(names []string, snapshotName string) error {
 	for _, name := range names {
 		_, isSnapshot := parseName(name, snapshotPrefix)
 		_, isLog := parseName(name, logPrefix)
-		old := (isSnapshot && name != snapshotName) || (isLog && name != j.logFile)
-		if !old && !strings.HasPrefix(name, temporaryPrefix) {
+		isSuperseded := (isSnapshot && name != snapshotName) || (isLog && name != j.logFile)
+		if !isSuperseded {
 			continue
 		}
 		if err := j.disk.Remove(name); err != nil {
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"slices"
-	"time"
 )
 
 // The errors of Propose and ProposeMembers. A proposal that was refused with
@@ -86,7 +85,7 @@
 // ProposeMembers appends a new membership and returns the index of its entry.
 // The new membership may differ from the current one by at most one voter.
 func (c *Core) ProposeMembers(members []Member) (uint64, error) {
-	if c.role != RoleLeader {
+	if c.role != RoleLeader || c.transferring {
 		return 0, ErrNotLeader
 	}
 	if c.memberships[len(c.memberships)-1].index > c.commitIndex {
@@ -146,15 +145,3 @@
 	}
 	return c.lastIndex() - p.matchIndex, c.now-p.ackedSentAt < c.config.ElectionTimeout+c.patience
 }
-
-// SinceLastContact returns the time since the leader sent the latest message
-// that the member has answered. For a member that has never answered it counts
-// from the leader's election, or from when the member was added, whichever is
-// later. It returns zero for this member itself and for unknown members.
-func (c *Core) SinceLastContact(id string) time.Duration {
-	p, ok := c.peers[id]
-	if !ok {
-		return 0
-	}
-	return c.now - max(p.ackedSentAt, p.trackedSince, c.electedAt)
-}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -64,6 +64,8 @@
 	// MessageTimeoutNow is sent by a leader that transfers its leadership: the
 	// receiver starts an election at once.
 	MessageTimeoutNow MessageKind = "campaign"
+	// MessageLeave is sent to the leader by a voter that is about to stop.
+	MessageLeave MessageKind = "leave"
 )
 
 // Message is sent from one member to another. It may be lost, duplicated,
@@ -180,6 +182,8 @@
 	probing bool
 	// probedAt is when probing began.
 	probedAt time.Duration
+	// leavingUntil is the time until which the member is taken for one that stops.
+	leavingUntil time.Duration
 	// highestSent is the highest index of an entry that the member was sent.
 	highestSent uint64
 }
@@ -195,10 +199,14 @@
 	savedHardState HardState
 	leader         string
 	votes          map[string]bool
+	// heardAt is when a message of a member last arrived, in any role of this one.
+	heardAt map[string]time.Duration
 	// electionDeadline is when a follower starts an election, or a candidate starts another one.
 	electionDeadline time.Duration
 	// lastLeaderContact is when the member last had contact to a leader, or when it started.
 	lastLeaderContact time.Duration
+	// ledUntil is when the member last stopped leading; zero if it has not.
+	ledUntil time.Duration
 	// patience is what this member asks for as a leader, leaderPatience what the leader
 	// has asked for; zero if none is known. Both are at most maxPatience.
 	patience, leaderPatience time.Duration
@@ -209,11 +217,17 @@
 	currentAsOf time.Duration
 	// nextHeartbeat is when a leader sends the next heartbeats.
 	nextHeartbeat time.Duration
+	// lastLeader is the last leader that this member has followed.
+	lastLeader string
+	// campaignSince is when the current or last series of elections began.
+	campaignSince time.Duration
 	// electedAt is when the member became leader.
 	electedAt time.Duration
 	// transferring is set on a leader that transfers its leadership: it holds no
 	// lease and accepts no proposals.
 	transferring bool
+	// transferSent is set once a member was asked to take over.
+	transferSent bool
 	// transferDeadline is when a leader that transfers its leadership steps
 	// down even if no other member was elected.
 	transferDeadline time.Duration
@@ -258,6 +272,7 @@
 		commitIndex:       restored.Snapshot.Index,
 		lastApplied:       restored.Snapshot.Index,
 		lastLeaderContact: now,
+		heardAt:           map[string]time.Duration{},
 	}
 	c.memberships = []membershipAt{{restored.Snapshot.Index, restored.Snapshot.Members}}
 	for _, e := range c.entries {
@@ -308,6 +323,7 @@
 // Step handles a message that was received at time now.
 func (c *Core) Step(now time.Duration, m Message) {
 	c.now = max(c.now, now)
+	c.recordHeard(m.From)
 	if m.Term > c.hardState.Term && !c.handleHigherTerm(m) {
 		return
 	}
@@ -328,6 +344,8 @@
 		c.handleAppendReply(m)
 	case MessageTimeoutNow:
 		c.handleTimeoutNow(m)
+	case MessageLeave:
+		c.handleLeave(m)
 	}
 }
 
--- a/internal/transporter/client.go
+++ b/internal/transporter/client.go
@@ -12,7 +12,10 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-const dialTimeout = time.Second
+// dialTimeout bounds one attempt to connect. An opening packet that was lost is sent again
+// only after 1 s, so that a new attempt reaches a machine whose power returned sooner. It
+// is above locateTimeout of the caller.
+const dialTimeout = 300 * time.Millisecond
 
 // Client sends calls to one address over one connection, which it opens when
 // needed. Its methods are safe for concurrent use.
@@ -20,6 +23,12 @@
 	address string
 	// tls is nil if mutual TLS is off.
 	tls *tls.Config
+	// dial opens a TCP connection; tests replace it. Never nil.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	// connecting holds a value while a call connects. Calls wait for it only as long as
+	// their context allows.
+	connecting chan struct{}
 
 	mutex sync.Mutex
 	rpc   *jsonrpc2.Conn
@@ -27,7 +36,12 @@
 
 // NewClient returns a client for the address. It connects at the first call.
 func NewClient(address string, tlsConfig *tls.Config) *Client {
-	return &Client{address: address, tls: tlsConfig}
+	return &Client{
+		address:    address,
+		tls:        tlsConfig,
+		dial:       (&net.Dialer{}).DialContext,
+		connecting: make(chan struct{}, 1),
+	}
 }
 
 // Address returns the address of the server.
@@ -77,19 +91,51 @@
 	c.closeConn(rpc)
 }
 
+// connect returns the connection, and opens it if there is none. It does not hold the
+// mutex meanwhile, because a machine without power leaves a connection hanging.
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	if rpc := c.connected(); rpc != nil {
+		return rpc, nil
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case c.connecting <- struct{}{}:
+	}
+	defer func() { <-c.connecting }()
+	if rpc := c.connected(); rpc != nil {
+		return rpc, nil
+	}
+	rpc, err := c.open(ctx)
+	if err != nil {
+		return nil, err
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.rpc != nil {
-		select {
-		case <-c.rpc.DisconnectNotify():
-			c.rpc = nil
-		default:
-			return c.rpc, nil
-		}
+	c.rpc = rpc
+	return rpc, nil
+}
+
+// connected returns the connection, or nil if there is none.
+func (c *Client) connected() *jsonrpc2.Conn {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.rpc == nil {
+		return nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	select {
+	case <-c.rpc.DisconnectNotify():
+		c.rpc = nil
+	default:
+	}
+	return c.rpc
+}
+
+// open opens a connection.
+func (c *Client) open(ctx context.Context) (*jsonrpc2.Conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(dialCtx, "tcp", c.address)
 	if err != nil {
 		return nil, err
 	}
@@ -103,8 +149,7 @@
 	rejectRequests := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no calls are taken here"}
 	})
-	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn), rejectRequests, jsonrpc2.SetLogger(discardLogger{}))
-	return c.rpc, nil
+	return jsonrpc2.NewConn(context.Background(), newStream(conn), rejectRequests, jsonrpc2.SetLogger(discardLogger{})), nil
 }
 
 func (c *Client) closeConn(rpc *jsonrpc2.Conn) {
