--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,8 +31,10 @@
 	// tickInterval is how often the core is ticked.
 	tickInterval = 20 * time.Millisecond
 	// maxPromotionLag is the maximum number of entries that a learner may be behind what
-	// was committed one membership check before, to become a voter.
-	maxPromotionLag = 100
+	// was committed one membership check before, to become a voter. maxPromotionLagBytes is
+	// the maximum size of these entries, which a member reads in a tenth of a second.
+	maxPromotionLag      = 100
+	maxPromotionLagBytes = 1 << 20
 	// membershipCheckInterval is how often the leader checks the membership.
 	membershipCheckInterval = 200 * time.Millisecond
 	// replaceVoterAfter is the time without contact to a voter after which a
@@ -43,11 +45,6 @@
 	removeLearnerAfter = 20 * time.Second
 	// missingVoterLogInterval is the minimum interval of the log line on a missing voter.
 	missingVoterLogInterval = 500 * time.Millisecond
-	// minLargeLogBytes is the length of the log from which on a snapshot may be due although
-	// the log has few entries. A member reads that many in a fifth of a second.
-	minLargeLogBytes = 4 << 20
-	// maxLogToSnapshot is how many times as long as the snapshot a log of few entries may be.
-	maxLogToSnapshot = 4
 	// diskCheckInterval is how often the free space on the disk is checked.
 	diskCheckInterval = time.Second
 )
@@ -382,20 +379,17 @@
 	return nil
 }
 
+// send sends each message by itself, so that a member answers one before it has read the next.
 func (c *Coordinator) send(messages []replicator.Message) {
-	if len(messages) == 0 {
-		return
-	}
-	for _, m := range c.core.Members() {
-		var addressed []replicator.Message
-		for _, message := range messages {
-			if message.To == m.ID {
-				addressed = append(addressed, message)
+	members := c.core.Members()
+	for _, message := range messages {
+		// A member that is not in the membership may be the leader that has just added this one.
+		recipient := replicator.Member{ID: message.To}
+		for _, m := range members {
+			if m.ID == message.To {
+				recipient = m
 			}
 		}
-		if len(addressed) > 0 {
-			c.options.Send(m, c.Identity().Cell, addressed)
-		}
+		c.options.Send(recipient, c.Identity().Cell, []replicator.Message{message})
 	}
-	c.sendToUnknownMembers(messages)
 }
--- a/internal/coordinator/membership_test.go
+++ b/internal/coordinator/membership_test.go
@@ -163,3 +163,53 @@
 	}
 	return true
 }
+
+// TestVoterThatAnswersIsNotSuperseded checks that a member which names the address of
+// another one takes no vote from it while it answers.
+func TestVoterThatAnswersIsNotSuperseded(t *testing.T) {
+	t.Parallel()
+	const timeout = 300 * time.Millisecond
+	tests := map[string]struct {
+		laterAddress string
+		silence      time.Duration
+		want         bool
+	}{
+		"another address":                       {laterAddress: "b", silence: time.Second},
+		"its address, while it answers":         {laterAddress: "a", silence: timeout},
+		"its address, and it does not answer":   {laterAddress: "a", silence: timeout + 1, want: true},
+		"its address, and it leads the members": {laterAddress: "a"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			later := []replicator.Member{{ID: "later", Address: tt.laterAddress}}
+			if got := isSuperseded(replicator.Member{ID: "m", Address: "a", Voter: true}, later, tt.silence, timeout); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestLearnerThatLacksLargeEntriesGetsNoVote checks that a cell that has lost a voter does
+// not come to depend on a member that has much to read.
+func TestLearnerThatLacksLargeEntriesGetsNoVote(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		missing uint64
+		size    int
+		want    bool
+	}{
+		"it has all entries":         {want: true},
+		"it lacks few entries":       {missing: 100, size: 20_000, want: true},
+		"it lacks many entries":      {missing: 101, size: 20_000},
+		"it lacks few large entries": {missing: 99, size: 36 << 20},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if got := hasCaughtUp(tt.missing, tt.size); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
