--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -66,6 +66,9 @@
 		if s.gang {
 			body["gang"] = true
 		}
+		if s.label != "" {
+			body["constraints"] = s.label
+		}
 		if s.longRunning {
 			body["longRunning"] = true
 		}
@@ -349,6 +352,75 @@
 	return broken
 }
 
+// playWaiting hands in jobs that only one worker of eight may run, just after that worker
+// was lost for good. It checks the rule MIXED: the number of waiting jobs that the queue
+// shows.
+func playWaiting(p *play) (bool, error) {
+	const workers, visible, slack = 8, 3 * time.Second, 2 * time.Second
+	pool := []*worker{p.newWorker(0, "i-000000a0", 1, 32000, 65536, "b", "r1-0")}
+	for n := 1; n < workers; n++ {
+		pool = append(pool, p.newWorker(n, fmt.Sprintf("i-%08x", 0xa0+n), 1, 32000, 65536, "a", "r1-0"))
+	}
+	if err := p.found(nil, pool...); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second)
+	if p.trouble {
+		pool[0].dieSilently()
+	}
+	const jobs = 5
+	acceptedAt := map[int]time.Time{}
+	for n := range jobs {
+		j := job{steps: []step{{count: 2, cpu: 2000, mem: 1024, label: "b"}}, work: 500 * time.Millisecond}
+		if status := p.submit(n, pickList, j, 500); status == http.StatusOK {
+			acceptedAt[n] = time.Now()
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	if len(acceptedAt) != jobs {
+		return false, errors.New("not all jobs were accepted")
+	}
+	broken := 0
+	for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		for n := range p.sys.ips {
+			owed := 0
+			for id, at := range acceptedAt {
+				if time.Since(at) > visible+slack && !p.hasBegun(id) {
+					owed++
+				}
+			}
+			status, answer := p.sys.call(http.MethodGet, p.sys.front(n), pickList.host, pickList.prefix, nil)
+			var decoded struct{ Waiting int }
+			if status != http.StatusOK || json.Unmarshal([]byte(answer), &decoded) != nil {
+				p.rec.add("client: GET %s at node %d -> %d %s", pickList.prefix, n+1, status, answer)
+				continue
+			}
+			p.rec.add("client: GET %s at node %d -> waiting %d; %d jobs that were accepted over %v before have not begun",
+				pickList.prefix, n+1, decoded.Waiting, owed, visible+slack)
+			if 2*decoded.Waiting < owed {
+				broken++
+			}
+		}
+	}
+	for n := range jobs {
+		p.rec.add("check: job %s is shown as %q; it has begun: %v", jobID(n), p.sys.state(n, pickList, jobID(n)), p.hasBegun(n))
+	}
+	p.rec.add("check: answers with under half of the jobs that wait: %d", broken)
+	return broken > 0, nil
+}
+
+// hasBegun reports whether a task of the job has started on a worker.
+func (p *play) hasBegun(n int) bool {
+	p.world.mutex.Lock()
+	defer p.world.mutex.Unlock()
+	for _, r := range p.world.runs {
+		if r.job == jobID(n) {
+			return true
+		}
+	}
+	return false
+}
+
 // playPace lets a worker carry out one pace order late. It checks the rule HARM.
 func playPace(p *play) (bool, error) {
 	const target, harm, contact = 100.0, 4 * time.Second, 3 * time.Second
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,12 +5,19 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
+	"time"
 )
 
+// maxDuration bounds a run.
+const maxDuration = 110 * time.Second
+
 // play is what a case works with.
 type play struct {
 	rec     *record
@@ -25,6 +32,7 @@
 	"reserve": playReserve,
 	"reborn":  playReborn,
 	"pace":    playPace,
+	"waiting": playWaiting,
 }
 
 func main() {
@@ -56,7 +64,26 @@
 	p := &play{rec: rec, sys: sys, trouble: os.Getenv("TROUBLE") != "0"}
 	p.world = &world{rec: rec, jobs: map[string]job{}}
 	rec.add("trouble: %v", p.trouble)
-	broken, err := c(p)
+	type verdict struct {
+		broken bool
+		err    error
+	}
+	done := make(chan verdict, 1)
+	go func() {
+		broken, err := c(p)
+		done <- verdict{broken, err}
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	var broken bool
+	select {
+	case v := <-done:
+		broken, err = v.broken, v.err
+	case <-signals:
+		err = errors.New("interrupted")
+	case <-time.After(maxDuration):
+		err = errors.New("not done in time")
+	}
 	switch {
 	case err != nil:
 		rec.add("could not run: %v", err)
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -13,7 +13,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -169,7 +168,6 @@
 	}
 	cmd := exec.Command(filepath.Join(s.root, "target", program), "run", "--settings", path)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = s.root, logs, logs
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -178,10 +176,10 @@
 	return nil
 }
 
-// stop ends all processes that were started, by their pid.
+// stop ends all processes that were started, by their pid, and removes their files.
+// With KEEP set in the environment it keeps the files, which hold the logs.
 func (s *system) stop() {
 	for _, c := range s.cmds {
-		_ = c.Process.Signal(syscall.SIGCONT)
 		_ = c.Process.Kill()
 		_ = c.Wait()
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -53,6 +53,7 @@
 	longRunning bool
 	fills       bool
 	targetMs    float64
+	label       string // the label that the worker must have
 }
 
 // run is one run of a task on one life of a worker.
