--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,4 +9,4 @@
   exit 2
 }
 export TROUBLE=${TROUBLE:-1}
-exec ../bin/standin waiting ../.. record.txt
+exec ../bin/standin reserve ../.. record.txt
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -421,6 +421,64 @@
 	return false
 }
 
+// playHandover stops the machine of the leader in the ordinary way while eight workers of
+// 48 are cut off. It checks the rule TWICE.
+func playHandover(p *play) (bool, error) {
+	const workers, cutOff, rounds = 48, 8, 3
+	var pool []*worker
+	for n := range workers {
+		w := p.newWorker(n, fmt.Sprintf("i-%08x", 0xa0+n), 1, 32000, 65536, "a", "r1-0")
+		if n < cutOff {
+			w.rate = 0.98
+		}
+		pool = append(pool, w)
+	}
+	if err := p.found(nil); err != nil {
+		return false, err
+	}
+	for _, w := range pool {
+		if err := w.serve(0); err != nil {
+			return false, err
+		}
+		time.Sleep(37 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	next := 0
+	for round := range rounds {
+		// The scheduler fills the workers in their order, with six tasks each.
+		for range 12 {
+			j := job{steps: []step{{count: 4, cpu: 5000, mem: 1024}}, work: 9 * time.Second}
+			p.submit(next, pickList, j, 9000)
+			next++
+		}
+		time.Sleep(1500 * time.Millisecond)
+		leader := p.sys.leader()
+		if leader == 0 {
+			return false, errors.New("no leader is known")
+		}
+		if !p.trouble {
+			time.Sleep(12 * time.Second)
+			continue
+		}
+		p.sys.terminate(leader)
+		for _, w := range pool[:cutOff] {
+			w.machine.setRefuse(true)
+		}
+		p.rec.add("cut: %d workers, %s to %s, are cut off from all machines, connections are refused (round %d)",
+			cutOff, pool[0].id, pool[cutOff-1].id, round+1)
+		time.Sleep(5 * time.Second)
+		for _, w := range pool[:cutOff] {
+			w.machine.setRefuse(false)
+		}
+		p.rec.add("cut: ends")
+		if err := p.sys.restart(leader); err != nil {
+			return false, err
+		}
+		time.Sleep(7 * time.Second)
+	}
+	return p.runsTwice(), nil
+}
+
 // playPace lets a worker carry out one pace order late. It checks the rule HARM.
 func playPace(p *play) (bool, error) {
 	const target, harm, contact = 100.0, 4 * time.Second, 3 * time.Second
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,10 +29,11 @@
 }
 
 var cases = map[string]func(*play) (bool, error){
-	"reserve": playReserve,
-	"reborn":  playReborn,
-	"pace":    playPace,
-	"waiting": playWaiting,
+	"reserve":  playReserve,
+	"reborn":   playReborn,
+	"pace":     playPace,
+	"waiting":  playWaiting,
+	"handover": playHandover,
 }
 
 func main() {
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -39,7 +40,10 @@
 	network string // the first three parts of all addresses
 	ips     []string
 	cmds    []*exec.Cmd
-	http    *http.Client
+	// processes are those that were started last, by name, and settings theirs.
+	processes map[string]*exec.Cmd
+	settings  map[string]string
+	http      *http.Client
 }
 
 // newNetwork returns the first three parts of loopback addresses on which the ports
@@ -72,7 +76,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{rec: rec, folder: folder, root: root, network: network}
+	s := &system{
+		rec: rec, folder: folder, root: root, network: network, processes: map[string]*exec.Cmd{}, settings: map[string]string{},
+	}
 	for i := 1; i <= machines; i++ {
 		s.ips = append(s.ips, fmt.Sprintf("%s.%d", network, i))
 	}
@@ -162,7 +168,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	logs, err := os.Create(filepath.Join(s.folder, name+".log"))
+	logs, err := os.OpenFile(filepath.Join(s.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -173,6 +179,46 @@
 	}
 	s.rec.add("system: %s started, pid %d", name, cmd.Process.Pid)
 	s.cmds = append(s.cmds, cmd)
+	s.processes[name], s.settings[name] = cmd, settings
+	return nil
+}
+
+// leader returns the number of the machine whose member of control leads, by the logs.
+func (s *system) leader() int {
+	leader, latest := 0, ""
+	for n := range s.ips {
+		data, _ := os.ReadFile(filepath.Join(s.folder, fmt.Sprintf("control-%d.log", n+1)))
+		for _, line := range strings.Split(string(data), "\n") {
+			var entry struct {
+				At, Msg string
+				Leads   bool
+			}
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Msg == "leadership changed" && entry.Leads && entry.At > latest {
+				leader, latest = n+1, entry.At
+			}
+		}
+	}
+	return leader
+}
+
+// terminate sends SIGTERM to both processes of a machine.
+func (s *system) terminate(machine int) {
+	s.rec.add("system: SIGTERM to machine %d", machine)
+	for _, role := range []string{"control", "entry"} {
+		_ = s.processes[fmt.Sprintf("%s-%d", role, machine)].Process.Signal(syscall.SIGTERM)
+	}
+}
+
+// restart waits until the processes of a machine have ended, and starts them again.
+func (s *system) restart(machine int) error {
+	for _, role := range []string{"control", "entry"} {
+		name := fmt.Sprintf("%s-%d", role, machine)
+		_ = s.processes[name].Wait()
+		settings := strings.Replace(s.settings[name], "founding = on", "founding = off", 1)
+		if err := s.run(name, "samphirewick-"+role, settings); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -99,6 +99,7 @@
 	changed  chan struct{}
 	draining bool
 	machine  *machine
+	rate     float64
 }
 
 // machine is the network of a worker's machine. Its address outlives the worker.
@@ -106,6 +107,9 @@
 	listener net.Listener
 	mutex    sync.Mutex
 	cut      bool
+	// refuse is set while connections are reset and new ones refused.
+	refuse bool
+	open   []net.Conn
 	// conns passes the connections on to the life that is up; nil if none is.
 	conns chan net.Conn
 	// lost holds connections that were opened behind a cut. They stay silent for good.
@@ -129,15 +133,39 @@
 			return
 		}
 		m.mutex.Lock()
-		if m.cut || m.conns == nil {
+		switch {
+		case m.refuse:
+			reset(conn)
+		case m.cut || m.conns == nil:
 			m.lost = append(m.lost, conn)
-		} else {
+		default:
+			m.open = append(m.open, conn)
 			m.conns <- conn
 		}
 		m.mutex.Unlock()
 	}
 }
 
+// setRefuse begins or ends a cut that resets all connections and refuses new ones.
+func (m *machine) setRefuse(refuse bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.refuse = refuse
+	if refuse {
+		for _, conn := range m.open {
+			reset(conn)
+		}
+		m.open = nil
+	}
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (m *machine) setCut(cut bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -163,11 +191,12 @@
 	return &worker{
 		world: w, id: id, life: life, address: address, service: service, cpu: cpu, mem: mem, labels: labels,
 		controls: controls, born: time.Now(), silent: make(chan struct{}), running: map[string]*run{},
-		highest: map[string]int{}, next: 1, changed: make(chan struct{}),
+		highest: map[string]int{}, next: 1, changed: make(chan struct{}), rate: 1,
 	}
 }
 
-func (w *worker) clock() time.Duration { return time.Since(w.born) }
+// clock is the steady clock of the worker, which may be 2 % slow.
+func (w *worker) clock() time.Duration { return time.Duration(float64(time.Since(w.born)) * w.rate) }
 
 // serve listens and begins to send heartbeats after firstBeat.
 func (w *worker) serve(firstBeat time.Duration) error {
@@ -233,6 +262,13 @@
 		})
 		w.mutex.Unlock()
 		acked := false
+		w.machine.mutex.Lock()
+		cutOff := w.machine.refuse
+		w.machine.mutex.Unlock()
+		if cutOff {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		for range w.controls {
 			response, err := client.Post("http://"+w.controls[node%len(w.controls)]+"/api/instances/"+w.id+"/heartbeat",
 				"application/json", strings.NewReader(string(body)))
