fix: a start that reaches a later life of its worker runs once

Cause: a start names its worker by id and address. A later life has seen no fence and has a clock of its own, so it carries the start out; the leader took all attempts of the earlier session for lapsed as soon as that life had answered or announced itself. A first poll also acknowledged the later life's ends by the earlier life's position, unread.

Why it works: the session ends only after the later life has listed or fenced each of its attempts, so that nothing is free to start elsewhere while it may run there. Nothing is acknowledged or renewed on a life that has not answered.

--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -59,6 +59,13 @@
 	}
 	var refuted []string
 	for _, other := range conflicts {
+		if other.Worker == s.Worker && other.Address == s.Address && other.StartedAtMillis < s.StartedAtMillis {
+			// The confirmed life may have got starts that were meant for the earlier one.
+			if err := leader.AwaitSessionEnd(ctx, other.Key()); err != nil {
+				return modeler.Refuse(modeler.CodeUnavailable, "born", "an earlier life of the worker has not ended: %v", err)
+			}
+			continue
+		}
 		if other.StartedAtMillis > s.StartedAtMillis && len(other.Tasks) == 0 && !leader.IsSessionReachable(other.Key()) {
 			refuted = append(refuted, other.Key())
 		}
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -72,11 +72,20 @@
 	committed map[uint64]struct{}
 	// unread is the number of rows of the last answer that could not be read.
 	unread int
+	// replaced is set once a later life of the worker has answered, at replacedAt. The
+	// link then sends no starts and renews no lease.
+	replaced   bool
+	replacedAt time.Duration
+	// cancelPoll ends the poll in progress; nil if there is none.
+	cancelPoll context.CancelCauseFunc
+	// ended is closed when run has returned because the session has ended.
+	ended chan struct{}
 }
 
 func newLink(s *Supervisor, session modeler.Session, inherited []modeler.TaskName) *link {
 	l := &link{
 		supervisor: s, session: session, orders: map[modeler.TaskName]*order{}, committed: map[uint64]struct{}{},
+		ended: make(chan struct{}),
 	}
 	state := s.options.State()
 	for _, name := range inherited {
@@ -104,7 +113,7 @@
 func (l *link) isReachable(now, window time.Duration) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.unresponsive && l.lastAnswer > 0 && now-l.lastAnswer < window
+	return !l.unresponsive && !l.replaced && l.lastAnswer > 0 && now-l.lastAnswer < window
 }
 
 // run polls the worker until the session or the context ends.
@@ -112,6 +121,7 @@
 	for ctx.Err() == nil {
 		session, ok := l.supervisor.options.State().Sessions.Get(l.session.Key())
 		if !ok {
+			close(l.ended)
 			return nil
 		}
 		if !l.supervisor.options.AwaitConfirmed(ctx) {
@@ -120,6 +130,8 @@
 		}
 		sent, result, err := l.poll(ctx, session)
 		switch {
+		case err == nil && result.StartedAtMillis != session.StartedAtMillis:
+			l.handleLaterLife(ctx, sent, result)
 		case err == nil:
 			l.handlePoll(ctx, sent, result)
 			if result.Unread > 0 {
@@ -127,7 +139,10 @@
 				waitToRetry(ctx)
 			}
 		case errors.Is(err, ErrOtherIncarnation):
+			// Another worker is at the address, which refuses all orders to this one.
 			l.endSession(ctx, err)
+		case errors.Is(err, errInterrupted):
+			l.markUnresponsive()
 		default:
 			l.handleNoAnswer(ctx, err)
 		}
@@ -144,23 +159,28 @@
 	}
 }
 
-// poll polls the worker, which renews its lease unless the link is unresponsive.
+// poll polls the worker, which renews its lease unless the link is unresponsive. It then
+// acknowledges no ends either: they would be those of a later life, if there is one.
 // It returns when the call was sent, and the worker's answer.
 func (l *link) poll(ctx context.Context, session modeler.Session) (time.Duration, PollResult, error) {
 	l.mutex.Lock()
 	sent := l.now()
-	o := PollOrder{Epoch: l.supervisor.options.Epoch, AckedPosition: l.ackedPosition}
-	if l.clock.known && !l.unresponsive {
+	o := PollOrder{Epoch: l.supervisor.options.Epoch}
+	if l.clock.known && !l.unresponsive && !l.replaced {
+		o.AckedPosition = l.ackedPosition
 		o.Deadline = l.clock.latestAt(sent) + workerLease
 		o.Wait = l.waitLocked()
 		l.deadline = max(l.deadline, o.Deadline)
 	}
+	interruptible, interrupt := context.WithCancelCause(ctx)
+	l.cancelPoll = interrupt
 	l.mutex.Unlock()
-	bounded, cancel := context.WithTimeout(ctx, o.Wait+pollGrace)
+	defer interrupt(nil)
+	bounded, cancel := context.WithTimeout(interruptible, o.Wait+pollGrace)
 	defer cancel()
 	result, err := l.supervisor.options.Calls.Poll(bounded, session, o)
-	if err == nil && result.StartedAtMillis != session.StartedAtMillis {
-		err = ErrOtherIncarnation
+	if err != nil && errors.Is(context.Cause(interruptible), errInterrupted) {
+		err = errInterrupted
 	}
 	return sent, result, err
 }
@@ -176,8 +196,7 @@
 	return l.supervisor.pollWait()
 }
 
-// endSession commits the end of the session after another incarnation of the worker
-// has answered.
+// endSession commits the end of the session, whose attempts neither run nor can start.
 func (l *link) endSession(ctx context.Context, cause error) {
 	l.log().Info("session ended", zap.String("session", l.session.Key()), zap.Error(cause))
 	err := l.supervisor.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, Names: []string{l.session.Key()}})
@@ -189,9 +208,7 @@
 // handleNoAnswer marks the link as unresponsive. Once every lease on the worker
 // has surely expired, it commits the end of the attempts that the worker holds.
 func (l *link) handleNoAnswer(ctx context.Context, cause error) {
-	l.mutex.Lock()
-	l.unresponsive = true
-	l.mutex.Unlock()
+	l.markUnresponsive()
 	if !l.haveLeasesExpired() {
 		waitToRetry(ctx)
 		return
@@ -202,24 +219,35 @@
 	wait(ctx, lostPollDelay)
 }
 
-// commitLapsed commits the end of the attempts that the worker holds.
+func (l *link) markUnresponsive() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.unresponsive = true
+}
+
+// commitLapsed commits the end of the attempts that the worker holds, except those that
+// may still run on a later life of it.
 func (l *link) commitLapsed(ctx context.Context, cause error) {
 	state := l.supervisor.options.State()
 	session, ok := state.Sessions.Get(l.session.Key())
 	if !ok || len(session.Tasks) == 0 {
 		return
 	}
-	l.log().Warn("worker lease expired", zap.String("session", session.Key()), zap.Int("tasks", len(session.Tasks)),
-		zap.Error(cause))
 	var ends []reducer.AttemptEnd
 	for _, name := range session.Tasks {
 		w, _ := state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
-		ends = append(ends, reducer.AttemptEnd{
-			Attempt:    modeler.Attempt{Task: name, Session: session.Key(), Number: task.Attempt},
-			Outcome:    reducer.AttemptLapsed,
-			Checkpoint: l.checkpointOf(name, task.Attempt),
-		})
+		a := modeler.Attempt{Task: name, Session: session.Key(), Number: task.Attempt}
+		if !l.mayRunLater(a) {
+			ends = append(ends, reducer.AttemptEnd{
+				Attempt: a, Outcome: reducer.AttemptLapsed, Checkpoint: l.checkpointOf(name, task.Attempt),
+			})
+		}
+	}
+	l.log().Warn("worker lease expired", zap.String("session", session.Key()), zap.Int("tasks", len(session.Tasks)),
+		zap.Int("ends", len(ends)), zap.Error(cause))
+	if len(ends) == 0 {
+		return
 	}
 	_ = l.supervisor.ends.commit(ctx, ends)
 }
@@ -252,13 +280,15 @@
 
 // registerStart records that a start is about to be sent. It returns false if the
 // start must not be sent.
-func (l *link) registerStart(a modeler.Attempt) bool {
+func (l *link) registerStart(o StartOrder) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.unresponsive || !l.clock.known {
+	if l.unresponsive || l.replaced || !l.clock.known {
 		return false
 	}
-	l.orders[a.Task] = &order{number: a.Number, phase: orderSending, since: l.now()}
+	l.orders[o.Attempt.Task] = &order{
+		number: o.Attempt.Number, phase: orderSending, since: l.now(), sentAt: l.now(), hasTicket: o.Ticket != "",
+	}
 	return true
 }
 
@@ -274,6 +304,7 @@
 	o.Deadline = l.clock.latestAt(l.now()) + startWindow
 	if !blocked {
 		l.deadline = max(l.deadline, o.Deadline)
+		l.recordSentLocked(o.Attempt)
 	}
 	l.mutex.Unlock()
 	if blocked {
@@ -301,6 +332,13 @@
 	}
 }
 
+// recordSentLocked records that the start is sent now. The caller holds the mutex.
+func (l *link) recordSentLocked(a modeler.Attempt) {
+	if o, ok := l.orders[a.Task]; ok && o.number == a.Number {
+		o.sentAt = l.now()
+	}
+}
+
 func (l *link) setPhase(a modeler.Attempt, phase orderPhase) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -329,7 +367,7 @@
 			go l.stop(ctx, a)
 			return
 		}
-		o = &order{number: a.Number, phase: orderStarted, since: l.now()}
+		o = &order{number: a.Number, phase: orderStarted, since: l.now(), sentAt: l.now()}
 		l.orders[a.Task] = o
 	}
 	recent := o.stopSentAt > 0 && l.now()-o.stopSentAt < stopRetryDelay
@@ -350,6 +388,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sent := l.now()
 	err := l.supervisor.options.Calls.Stop(bounded, l.current(), StopOrder{Attempt: a, Epoch: l.supervisor.options.Epoch})
 	if err != nil {
 		l.log().Info("stop call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
@@ -358,6 +397,9 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.replaced && sent < l.replacedAt {
+		return
+	}
 	if o, ok := l.orders[a.Task]; ok && o.number == a.Number && o.phase == orderUnconfirmed {
 		o.phase = orderFenced
 		o.since = l.now()
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -129,6 +129,7 @@
 	if !ok || o.number != a.Number {
 		return
 	}
+	o.isListed = true
 	if o.phase == orderUnconfirmed || o.phase == orderInherited {
 		o.phase = orderStarted
 		o.since = l.now()
@@ -151,7 +152,7 @@
 		// The start is about to be sent, or the result of its commit is unknown. A
 		// stop sent after stopRetryDelay settles which.
 		now := l.now()
-		l.orders[a.Task] = &order{number: a.Number, phase: orderUnconfirmed, since: now, stopSentAt: now}
+		l.orders[a.Task] = &order{number: a.Number, phase: orderUnconfirmed, since: now, stopSentAt: now, sentAt: now}
 		l.mutex.Unlock()
 		return "", false
 	}
--- a/internal/supervisor/order.go
+++ b/internal/supervisor/order.go
@@ -29,5 +29,11 @@
 	since time.Duration
 	// stopSentAt is when the last stop was sent; zero if none was.
 	stopSentAt time.Duration
+	// sentAt is when the start was sent last, or at the latest when the order was recorded.
+	sentAt time.Duration
+	// hasTicket is true if the start carries a permit.
+	hasTicket bool
+	// isListed is true once the session's life has listed the attempt as running.
+	isListed   bool
 	checkpoint string
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -280,7 +280,7 @@
 	if !ok {
 		return
 	}
-	if l.registerStart(o.Attempt) {
+	if l.registerStart(o) {
 		go l.start(ctx, o)
 		return
 	}
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -129,6 +129,21 @@
 	change(f)
 }
 
+// startAgain makes the worker start again under its id and address: it runs and knows
+// nothing of before, and its clock starts anew.
+func (f *fakeWorker) startAgain() {
+	f.session.StartedAtMillis++
+	f.started, f.epoch, f.deadline = time.Now(), 0, 0
+	f.running, f.fenced = map[modeler.TaskName]int{}, map[modeler.TaskName]int{}
+	f.ends, f.acknowledged = nil, 0
+}
+
+// extendLease extends the lease to the deadline, but not beyond maxLease. The caller holds
+// the mutex.
+func (f *fakeWorker) extendLease(deadline time.Duration) {
+	f.deadline = max(f.deadline, min(deadline, f.clock()+maxLease))
+}
+
 func (f *fakeWorker) acceptStart(o StartOrder) StartResult {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -144,7 +159,7 @@
 		return ResultLate
 	}
 	f.epoch = o.Epoch
-	f.deadline = max(f.deadline, o.Deadline)
+	f.extendLease(o.Deadline)
 	f.running[o.Attempt.Task] = o.Attempt.Number
 	f.acceptedStarts++
 	return ResultStarted
@@ -222,7 +237,7 @@
 	f.expireLease()
 	if o.Epoch >= f.epoch {
 		f.epoch = o.Epoch
-		f.deadline = max(f.deadline, o.Deadline)
+		f.extendLease(o.Deadline)
 		for len(f.ends) > 0 && f.ends[0].Position <= o.AckedPosition {
 			f.ends = f.ends[1:]
 			f.acknowledged++
