fix: no order sets a lease that ends later than a new leader waits

Cause: a poll mapped the worker's clock by the latest that it could show, counted from the sending of the poll before, although a worker reads its clock only when it answers, up to a second later. So a lease of 3 s lasted up to 3.5 s (3.57 s on a slow clock), and a new leader waits for 3.36 s.

Why it works: orders count by the earliest that the clock can show, so that every lease ends workerLease after the order was sent at the latest, which is what a new leader counts.

--- a/internal/supervisor/clock.go
+++ b/internal/supervisor/clock.go
@@ -34,10 +34,11 @@
 	return workerClock{known: true, reading: reading, sent: sent, received: received}
 }
 
-// latestAt returns the latest time that the worker's clock can show at the
-// leader's time now, provided that it does not run faster than the leader's.
-func (c workerClock) latestAt(now time.Duration) time.Duration {
-	return c.reading + now - c.sent
+// earliestAt returns the earliest time that the worker's clock can show at the leader's
+// time now, even at minClockRate. A worker reads its clock when it answers, which may be
+// long after the poll was sent.
+func (c workerClock) earliestAt(now time.Duration) time.Duration {
+	return c.reading + max(0, now-c.received)*minClockRate/percent
 }
 
 // reachedBy returns the leader's time by which the worker's clock has surely
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// workerLease is how long a worker keeps its tasks running without a poll. It
-	// outlasts a change of leader, and is the longest time that lost work stays
-	// undetected.
+	// workerLease is how long after a poll was sent a worker keeps its tasks running, by its
+	// own clock. No order sets a lease that ends later, because a new leader knows only
+	// when it began to lead. It outlasts a change of leader, and is the longest time that
+	// lost work stays undetected.
 	workerLease = 3 * time.Second
 	// startWindow is how long after it was sent a start may take effect.
 	startWindow = 1200 * time.Millisecond
@@ -168,7 +169,7 @@
 	o := PollOrder{Epoch: l.supervisor.options.Epoch}
 	if l.clock.known && !l.unresponsive && !l.replaced {
 		o.AckedPosition = l.ackedPosition
-		o.Deadline = l.clock.latestAt(sent) + workerLease
+		o.Deadline = l.clock.earliestAt(sent) + workerLease
 		o.Wait = l.waitLocked()
 		l.deadline = max(l.deadline, o.Deadline)
 	}
@@ -258,6 +259,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := l.now()
+	// An earlier leader's last order was sent before this one began to lead.
 	ended := l.supervisor.options.Since + workerLease*percent/minClockRate + expiryMargin
 	if l.clock.known {
 		ended = max(ended, l.clock.reachedBy(l.deadline))
@@ -301,7 +303,7 @@
 	l.mutex.Lock()
 	blocked := l.startsBlocked
 	o.Epoch = l.supervisor.options.Epoch
-	o.Deadline = l.clock.latestAt(l.now()) + startWindow
+	o.Deadline = l.clock.earliestAt(l.now()) + startWindow
 	if !blocked {
 		l.deadline = max(l.deadline, o.Deadline)
 		l.recordSentLocked(o.Attempt)
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -225,6 +225,36 @@
 	}
 }
 
+// TestLeaseOfEarlierLeaderEndsInTime guards against a new leader, which took over in
+// a moment, that takes the leases of the earlier one for ended while tasks still run by them.
+func TestLeaseOfEarlierLeaderEndsInTime(t *testing.T) {
+	const (
+		offsets = 40
+		offset  = 25 * time.Millisecond
+	)
+	for i := range time.Duration(offsets) {
+		t.Run((i * offset).String(), func(t *testing.T) {
+			runSupervised(t, func(t *testing.T, h *harness) {
+				h.startNext()
+				time.Sleep(2*time.Second + i*offset)
+				h.worker.set(func(f *fakeWorker) { f.refusing = true })
+				h.stop()
+				h.startLeader(2)
+				for handedOverAt := time.Now(); h.task().HoldsResources(); {
+					time.Sleep(time.Millisecond)
+					if !h.task().HoldsResources() && h.worker.runs(onlyTask) {
+						t.Fatalf("attempt was committed as ended %v after the change of leader while the worker ran it",
+							time.Since(handedOverAt))
+					}
+					if time.Since(handedOverAt) > 3*workerLease {
+						t.Fatal("attempt on an unresponsive worker was not committed as ended")
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestNonLeaderSendsNoOrders(t *testing.T) {
 	runSupervised(t, func(t *testing.T, h *harness) {
 		time.Sleep(100 * time.Millisecond)
