fix: a gang that can never fit keeps no capacity

Cause: a waiting gang keeps the capacity of its permitted workers, the first one of a plan without a bound, and nothing checked whether the rest can ever become free.

Of TestGangThatNeverFitsKeepsNoCapacity four of five cases fail before: "less urgent tasks started on [w2@1 w2@1 w2@1 w2@1], want all 11".

Why it works: a gang keeps capacity and asks for permits only while the workers that may run it have room for all of its tasks beside long-running ones. It is judged in each plan.

--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -58,7 +58,7 @@
 	var partial []*sessionCapacity
 	for _, key := range permits.Granted() {
 		c, ok := pool.byKey[key]
-		if !ok || !c.session.HasLabel(r.step.Label) || !need.FitsIn(c.session.Capacity) {
+		if !ok || !c.session.HasLabel(r.step.Label) || !need.FitsIn(p.endingCapacity(c)) {
 			continue
 		}
 		gathered.Workers++
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -32,6 +32,8 @@
 	// fillMillicores are the processors allocated in this plan to fill tasks, that
 	// is tasks of steps with UsesIdleProcessors set.
 	fillMillicores int64
+	// ending is the capacity that long-running tasks do not hold; nil until it is asked for.
+	ending *modeler.Resources
 	// suspect sessions are used only if no other fits.
 	suspect bool
 }
@@ -145,6 +147,8 @@
 	switch {
 	case !r.step.Gang:
 		p.requestPermits(ctx, r, missing, permits)
+	case !p.canEverFit(r, permits):
+		// Capacity kept for it would be kept for good.
 	case p.reserve(r).Take(int64(missing) * r.step.CapacityNeed().Processors):
 		for key, amount := range p.gather(ctx, r, permits) {
 			p.kept[key] = p.kept[key].Plus(amount)
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -299,6 +299,80 @@
 	})
 }
 
+// TestGangThatNeverFitsKeepsNoCapacity guards against a gang that can never start and keeps
+// the capacity of its workers for good, so that nothing behind it runs beside an idle pool.
+func TestGangThatNeverFitsKeepsNoCapacity(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		gang modeler.StepSpec
+		// lasting runs on w0 for good, if it has tasks.
+		lasting modeler.StepSpec
+	}{
+		"it needs a worker more than the policy permits": {gang: stepOf(3, 8)},
+		"a worker may not hold as many of its tasks":     {gang: with(stepOf(3, 1), func(s *modeler.StepSpec) { s.MaxPerWorker = 1 })},
+		"no permitted worker is as large":                {gang: stepOf(2, 9)},
+		"too few workers have its label":                 {gang: with(stepOf(2, 8), func(s *modeler.StepSpec) { s.Label = "k1" })},
+		"a task that lasts holds what it lacks": {
+			gang: stepOf(2, 8), lasting: with(stepOf(1, 1), func(s *modeler.StepSpec) { s.LongRunning = true }),
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				f.permitted = []string{"w0", "w1"}
+				f.announce(3)
+				if tt.lasting.Count > 0 {
+					f.submit("urgent", "service", tt.lasting)
+					f.round("service")
+				}
+				f.submit("guarded", "gang", with(tt.gang, func(s *modeler.StepSpec) { s.Gang = true }))
+				for range 20 {
+					f.round("gang")
+					synctest.Wait()
+					time.Sleep(100 * time.Millisecond)
+				}
+				calls := f.permitCalls
+				f.submit("plain", "small", stepOf(11, 2))
+				if got := f.round("small"); len(got) != 11 {
+					t.Errorf("less urgent tasks started on %v, want all 11", got)
+				}
+				for range 20 {
+					f.round("gang")
+					synctest.Wait()
+					time.Sleep(100 * time.Millisecond)
+				}
+				if f.permitCalls != calls {
+					t.Errorf("%d more permit requests for a gang that does not fit", f.permitCalls-calls)
+				}
+			})
+		})
+	}
+}
+
+// TestGangThatFitsOnceAWorkerJoinsStarts checks that a gang is judged again when workers change.
+func TestGangThatFitsOnceAWorkerJoinsStarts(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.permitted = []string{"w0", "w1", "w2"}
+		f.announce(2)
+		f.submit("guarded", "gang", with(stepOf(3, 8), func(s *modeler.StepSpec) { s.Gang = true }))
+		for _, workers := range []int{2, 3} {
+			f.announce(workers)
+			for range 20 {
+				f.round("gang")
+				synctest.Wait()
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		if got := f.round("gang"); len(got) != 3 {
+			t.Errorf("gang started on %v, want all three workers", got)
+		}
+	})
+}
+
 // TestGangDoesNotWaitForWorkerThatStaysFull replays a gang that may run on a worker
 // with a long task, while another worker that it may run on as well is free.
 func TestGangDoesNotWaitForWorkerThatStaysFull(t *testing.T) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -85,6 +85,8 @@
 	turnover claimer.Turnover
 	// kept is the capacity that the last plan kept for gangs that wait, by session.
 	kept map[string]modeler.Resources
+	// hopeless are the steps that were logged as gangs that do not fit.
+	hopeless map[adviser.StepName]struct{}
 	// lastMoveCheck is when the scheduler last checked for attempts to move, by Now.
 	lastMoveCheck time.Duration
 }
@@ -93,6 +95,7 @@
 func New(options Options) *Scheduler {
 	return &Scheduler{
 		options: options, wakeup: make(chan struct{}, 1), backlog: newBacklog(), claims: map[adviser.StepName]claimer.Claim{},
+		hopeless: map[adviser.StepName]struct{}{},
 	}
 }
 
