test: a wait for a search that may never reach the other member

The first call's search ends at the leader's answer, and its question to the other member may be cancelled before it arrives, so that the test waited for good. It now searches until the other member was asked.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -199,7 +199,15 @@
 	if err := call(t, c, 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
-	<-other.located
+	// A search ends at the leader's answer, and may not have reached the other member.
+	for isLocated := false; !isLocated; {
+		<-c.startSearch("").done
+		select {
+		case <-other.located:
+			isLocated = true
+		default:
+		}
+	}
 	slow.isSlow.Store(true)
 	before := slow.locates.Load()
 	result := make(chan error, 1)
--- a/internal/caller/locator.go
+++ b/internal/caller/locator.go
@@ -159,7 +159,7 @@
 func (c *Caller) clientLocked(address string) *transporter.Client {
 	client, ok := c.clients[address]
 	if !ok {
-		client = transporter.NewClient(address, c.tls)
+		client = transporter.NewClient(address, c.tls, c.log)
 		c.clients[address] = client
 	}
 	return client
