fix: a late append makes no member current

Found by reading: a follower that lags behind answered reads once an append that later ones had overtaken came in, as it took the commit index stated last for the leader's. Connections that are replaced let messages overtake each other.

Evidence: TestLateAppendMakesNoMemberCurrent fails before: "a member that lacks a committed entry is current as of 3s, want 1s". Why it works: commit indexes never go back, so the highest one stated is a lower bound of what is committed.

--- a/internal/replicator/contact_test.go
+++ b/internal/replicator/contact_test.go
@@ -24,6 +24,28 @@
 	}
 }
 
+// TestLateAppendMakesNoMemberCurrent guards against a member that lags behind and takes itself for
+// current, and answers reads, after an append that later ones have overtaken.
+func TestLateAppendMakesNoMemberCurrent(t *testing.T) {
+	t.Parallel()
+	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	c := New(Config{ID: "a", ElectionTimeout: time.Second, HeartbeatInterval: time.Second / 10},
+		RestoredState{Snapshot: Snapshot{Members: members}}, 0)
+	entries := []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}}
+	c.Step(time.Second, Message{Kind: MessageAppend, From: "b", Term: 1, Entries: entries[:1], Commit: 1})
+	c.Ready()
+	c.Advance()
+	caughtUp := c.CurrentAsOf()
+	if caughtUp != time.Second {
+		t.Fatalf("a member that has applied all is current as of %v, want 1s", caughtUp)
+	}
+	c.Step(2*time.Second, Message{Kind: MessageAppend, From: "b", Term: 1, Index: 1, LogTerm: 1, Commit: 2})
+	c.Step(3*time.Second, Message{Kind: MessageAppend, From: "b", Term: 1, Index: 1, LogTerm: 1, Commit: 1})
+	if got := c.CurrentAsOf(); got != caughtUp {
+		t.Errorf("a member that lacks a committed entry is current as of %v, want %v", got, caughtUp)
+	}
+}
+
 func TestMemberThatLedHasHadContactUntilThen(t *testing.T) {
 	t.Parallel()
 	c := New(Config{ID: "a", ElectionTimeout: time.Second, HeartbeatInterval: time.Second / 10},
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -180,7 +180,8 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.recordLeaderContact(m)
-	c.leaderCommit = m.Commit
+	// A message of a connection that was given up may arrive after later ones.
+	c.leaderCommit = max(c.leaderCommit, m.Commit)
 	reply := Message{Kind: MessageAppendReply, To: m.From, SentAt: m.SentAt}
 	if m.Index < c.commitIndex {
 		reply.Index = c.commitIndex
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -184,7 +184,7 @@
 	// patience is what this member asks for as a leader, leaderPatience what the leader
 	// has asked for; zero if none is known. Both are at most maxPatience.
 	patience, leaderPatience time.Duration
-	// leaderCommit is the commit index that the leader stated last.
+	// leaderCommit is the highest commit index that a leader has stated.
 	leaderCommit uint64
 	// currentAsOf is the latest contact to a leader up to which all that was committed
 	// is in Ready.Committed or before it; zero if there was none.
