fix: silent connections between processes are noticed and replaced

Cause: messages of the replicated log are not answered, and a courier kept its connection for as long as writes succeed. Nothing noticed a connection that takes bytes and delivers none.

Why it works: a client pings a peer that owes an answer, and goes over to another connection once the peer has answered there and not on the first. A peer that answers on neither keeps the connection that it has, so that one which is slow or paused breaks no calls.

--- a/cmd/samphirewick-control/internal/commander/gateway_test.go
+++ b/cmd/samphirewick-control/internal/commander/gateway_test.go
@@ -93,7 +93,7 @@
 	}
 	callCtx, stop := context.WithTimeout(ctx, time.Minute)
 	defer stop()
-	client := transporter.NewClient(settings.Member.Address, nil)
+	client := transporter.NewClient(settings.Member.Address, nil, zap.NewNop())
 	defer client.Reset()
 	var answer messenger.LocateAnswer
 	if err := client.Call(callCtx, messenger.MethodLocate, struct{}{}, &answer); err != nil {
--- a/cmd/samphirewick-control/internal/commander/platform.go
+++ b/cmd/samphirewick-control/internal/commander/platform.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/adviser"
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
@@ -56,6 +58,7 @@
 // for concurrent use.
 type entryClients struct {
 	tls *tls.Config
+	log *zap.Logger
 
 	mutex   sync.Mutex
 	clients map[string]*transporter.Client
@@ -66,7 +69,7 @@
 	defer p.mutex.Unlock()
 	c, ok := p.clients[address]
 	if !ok {
-		c = transporter.NewClient(address, p.tls)
+		c = transporter.NewClient(address, p.tls, p.log)
 		p.clients[address] = c
 	}
 	return c
--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -138,7 +138,7 @@
 		m.control = caller.New(seeds, m.tls, m.log)
 	}
 	self := replicator.Member{ID: identity.Member, Address: m.settings.Member.Address}
-	m.courier = courier.New(self, m.tls)
+	m.courier = courier.New(self, m.tls, m.log)
 	m.coordinator, err = coordinator.New(coordinator.Options{
 		Identity:      identity,
 		Journal:       journal,
@@ -211,7 +211,7 @@
 	if m.settings.Platform.Control == "" {
 		return nil
 	}
-	clients := &entryClients{tls: m.tls, clients: map[string]*transporter.Client{}}
+	clients := &entryClients{tls: m.tls, log: m.log, clients: map[string]*transporter.Client{}}
 	return &controller.WorkflowOptions{Calls: platform.NewWorkerClient().Calls(), RequestPermits: clients.requestPermits}
 }
 
--- a/cmd/samphirewick-entry/internal/commander/run.go
+++ b/cmd/samphirewick-entry/internal/commander/run.go
@@ -115,7 +115,7 @@
 	e.control = caller.New(e.settings.Control.MemberAddresses(), e.tls, e.log)
 	e.dispatcher = dispatcher.New()
 	e.sender = sender.New()
-	e.forwarder = forwarder.New(e.tls)
+	e.forwarder = forwarder.New(e.tls, e.log)
 	e.tracker = tracker.New(tracker.Options{
 		Entry: modeler.Entry{
 			ID:         e.newID(),
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/replicator"
 	"github.com/samphirewick/samphirewick/internal/runner"
@@ -29,6 +31,7 @@
 type Courier struct {
 	self replicator.Member
 	tls  *tls.Config
+	log  *zap.Logger
 	// newPeers passes peers to Run, which starts a sender for each.
 	newPeers chan *peer
 
@@ -59,10 +62,12 @@
 }
 
 // New returns the courier of the member self; a nil TLS configuration means without TLS.
-func New(self replicator.Member, tlsConfig *tls.Config) *Courier {
+// The log receives a line when a member falls silent.
+func New(self replicator.Member, tlsConfig *tls.Config, log *zap.Logger) *Courier {
 	return &Courier{
 		self:             self,
 		tls:              tlsConfig,
+		log:              log,
 		newPeers:         make(chan *peer, maxMembers),
 		peers:            map[string]*peer{},
 		learnedAddresses: map[string]learnedAddress{},
@@ -161,7 +166,7 @@
 }
 
 func (c *Courier) sendBatches(ctx context.Context, p *peer) error {
-	client := transporter.NewClient(p.address, c.tls)
+	client := transporter.NewClient(p.address, c.tls, c.log)
 	defer client.Reset()
 	for {
 		select {
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -6,8 +6,12 @@
 	"fmt"
 	"net"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
 
 	"github.com/samphirewick/samphirewick/internal/courier"
+	"github.com/samphirewick/samphirewick/internal/faker"
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/replicator"
 	"github.com/samphirewick/samphirewick/internal/transporter"
@@ -44,7 +48,7 @@
 // start runs a courier until the test ends.
 func start(t *testing.T) *courier.Courier {
 	t.Helper()
-	c := courier.New(replicator.Member{ID: "self", Address: "127.0.0.1:1"}, nil)
+	c := courier.New(replicator.Member{ID: "self", Address: "127.0.0.1:1"}, nil, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
@@ -80,7 +84,7 @@
 			t.Parallel()
 			received := make(chan string, 1)
 			address := listen(t, received)
-			c := courier.New(replicator.Member{ID: "self"}, nil)
+			c := courier.New(replicator.Member{ID: "self"}, nil, zap.NewNop())
 			for i := range moreMembers {
 				c.Send(replicator.Member{ID: fmt.Sprint("former-", i), Address: "127.0.0.1:2"}, "cell", message())
 				drain(c)
@@ -123,3 +127,50 @@
 		t.Errorf("received a batch of cell %q, want %q", got, "wanted")
 	}
 }
+
+// TestMemberBehindSilentConnectionIsReached guards against a courier that goes on sending into a
+// connection that delivers nothing: two members with whole logs elected no leader for good.
+func TestMemberBehindSilentConnectionIsReached(t *testing.T) {
+	t.Parallel()
+	tests := map[string]faker.Direction{
+		"both ways": faker.BothWays, "to the member": faker.Inward, "from the member": faker.Outward,
+	}
+	for name, direction := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			received := make(chan string, 1000)
+			proxy, err := faker.NewProxy(listen(t, received))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() {
+				if err := proxy.Close(); err != nil {
+					t.Error(err)
+				}
+			})
+			c := start(t)
+			member := replicator.Member{ID: "other", Address: proxy.Address()}
+			c.Send(member, "first", message())
+			<-received
+			proxy.Silence(direction, nil)
+			// Heartbeats come at this interval. A batch that the silent connection swallows is lost.
+			ticker := time.NewTicker(50 * time.Millisecond)
+			defer ticker.Stop()
+			const most = 600
+			arrived := 0
+			for range most {
+				c.Send(member, "again", message())
+				<-ticker.C
+				if proxy.Dials() == 1 {
+					arrived = -len(received)
+				}
+				if arrived+len(received) > 1 {
+					break
+				}
+			}
+			if got := proxy.Dials(); got != 2 || arrived+len(received) <= 1 {
+				t.Errorf("%d connections, and %d batches on the second one, after %d were sent", got, arrived+len(received), most)
+			}
+		})
+	}
+}
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -1,4 +1,5 @@
-// Package faker provides a fake disk for tests. Each of its operations consists of the
+// Package faker provides a fake disk for tests, and a proxy whose connections go silent.
+// Each operation of the disk consists of the
 // same steps as on a real disk, and it can be stopped after any of them. It loses what was
 // not synced when the power is lost.
 package faker
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,8 @@
 	"crypto/tls"
 	"sync"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/tracker"
@@ -15,6 +17,7 @@
 // Forwarder forwards requests to other entries. It is safe for concurrent use.
 type Forwarder struct {
 	tls *tls.Config
+	log *zap.Logger
 
 	mutex sync.Mutex
 	// clients holds a client for each entry's address.
@@ -22,8 +25,9 @@
 }
 
 // New returns a forwarder that connects with the TLS configuration; nil means without TLS.
-func New(tlsConfig *tls.Config) *Forwarder {
-	return &Forwarder{tls: tlsConfig, clients: map[string]*transporter.Client{}}
+// The log receives a line when an entry falls silent.
+func New(tlsConfig *tls.Config, log *zap.Logger) *Forwarder {
+	return &Forwarder{tls: tlsConfig, log: log, clients: map[string]*transporter.Client{}}
 }
 
 // Forward sends the request to the entry and waits for its answer.
@@ -40,7 +44,7 @@
 	defer f.mutex.Unlock()
 	c, ok := f.clients[address]
 	if !ok {
-		c = transporter.NewClient(address, f.tls)
+		c = transporter.NewClient(address, f.tls, f.log)
 		f.clients[address] = c
 	}
 	return c
--- a/internal/transporter/client.go
+++ b/internal/transporter/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
 )
 
 // dialTimeout bounds one attempt to connect. An opening packet that was lost is sent again
@@ -18,11 +19,13 @@
 const dialTimeout = 300 * time.Millisecond
 
 // Client sends calls to one address over one connection, which it opens when
-// needed. Its methods are safe for concurrent use.
+// needed. It replaces a connection that has gone silent, and closes one that is idle. Its
+// methods are safe for concurrent use.
 type Client struct {
 	address string
 	// tls is nil if mutual TLS is off.
 	tls *tls.Config
+	log *zap.Logger
 	// dial opens a TCP connection; tests replace it. Never nil.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -31,14 +34,17 @@
 	connecting chan struct{}
 
 	mutex sync.Mutex
-	rpc   *jsonrpc2.Conn
+	// current is the connection that calls are sent on; nil if there is none.
+	current *link
 }
 
-// NewClient returns a client for the address. It connects at the first call.
-func NewClient(address string, tlsConfig *tls.Config) *Client {
+// NewClient returns a client for the address; a nil TLS configuration means without TLS. It
+// connects at the first call. The log receives a line when the peer falls silent.
+func NewClient(address string, tlsConfig *tls.Config, log *zap.Logger) *Client {
 	return &Client{
 		address:    address,
 		tls:        tlsConfig,
+		log:        log,
 		dial:       (&net.Dialer{}).DialContext,
 		connecting: make(chan struct{}, 1),
 	}
@@ -51,11 +57,12 @@
 // The error is a refusal, or wraps ErrNotSent or ErrOutcomeUnknown; with
 // ErrOutcomeUnknown the call may have been executed.
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
-	rpc, err := c.connect(ctx)
+	l, err := c.connect(ctx)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	err = rpc.Call(ctx, method, params, result)
+	defer l.release()
+	err = l.rpc.Call(ctx, method, params, result)
 	if err == nil {
 		return nil
 	}
@@ -63,7 +70,7 @@
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
 	}
 	if errors.Is(err, jsonrpc2.ErrClosed) {
-		c.closeConn(rpc)
+		c.close(l)
 	}
 	return fromRPCError(err)
 }
@@ -71,12 +78,13 @@
 // Notify sends one call without waiting for an answer. The error wraps
 // ErrNotSent or ErrOutcomeUnknown.
 func (c *Client) Notify(ctx context.Context, method string, params any) error {
-	rpc, err := c.connect(ctx)
+	l, err := c.connect(ctx)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if err := rpc.Notify(ctx, method, params); err != nil {
-		c.closeConn(rpc)
+	defer l.release()
+	if err := l.rpc.Notify(ctx, method, params); err != nil {
+		c.close(l)
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	return nil
@@ -86,16 +94,17 @@
 // connection.
 func (c *Client) Reset() {
 	c.mutex.Lock()
-	rpc := c.rpc
+	l := c.current
 	c.mutex.Unlock()
-	c.closeConn(rpc)
+	c.close(l)
 }
 
-// connect returns the connection, and opens it if there is none. It does not hold the
-// mutex meanwhile, because a machine without power leaves a connection hanging.
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
-	if rpc := c.connected(); rpc != nil {
-		return rpc, nil
+// connect returns the connection, and opens it if there is none. The caller releases it
+// after use. It does not hold the mutex meanwhile, because a machine without power leaves a
+// connection hanging.
+func (c *Client) connect(ctx context.Context) (*link, error) {
+	if l := c.acquire(); l != nil {
+		return l, nil
 	}
 	select {
 	case <-ctx.Done():
@@ -103,42 +112,87 @@
 	case c.connecting <- struct{}{}:
 	}
 	defer func() { <-c.connecting }()
-	if rpc := c.connected(); rpc != nil {
-		return rpc, nil
+	if l := c.acquire(); l != nil {
+		return l, nil
 	}
-	rpc, err := c.open(ctx)
+	l, err := c.open(ctx)
 	if err != nil {
 		return nil, err
 	}
+	l.acquire()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.rpc = rpc
-	return rpc, nil
+	c.use(l)
+	return l, nil
 }
 
-// connected returns the connection, or nil if there is none.
-func (c *Client) connected() *jsonrpc2.Conn {
+// acquire returns the connection for use, or nil if there is none.
+func (c *Client) acquire() *link {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.rpc == nil {
+	if c.current == nil {
 		return nil
 	}
 	select {
-	case <-c.rpc.DisconnectNotify():
-		c.rpc = nil
+	case <-c.current.rpc.DisconnectNotify():
+		c.current = nil
+		return nil
 	default:
 	}
-	return c.rpc
+	c.current.acquire()
+	return c.current
+}
+
+// use makes the link the one that calls are sent on, and starts to watch it. The caller
+// holds the mutex.
+func (c *Client) use(l *link) {
+	c.current = l
+	// The context of a connection ends with it, and so does the goroutine.
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		c.watch(ctx, l)
+	}()
+}
+
+// replace goes over from a link to the next one, and closes the former. It closes the next
+// one instead if the former is not used any more.
+func (c *Client) replace(l, next *link) {
+	c.mutex.Lock()
+	unused := next
+	if c.current == l {
+		c.use(next)
+		unused = l
+	}
+	c.mutex.Unlock()
+	_ = unused.rpc.Close()
+}
+
+// closeIdle closes a link that nobody uses, and reports whether it did.
+func (c *Client) closeIdle(l *link) bool {
+	c.mutex.Lock()
+	if l.userCount() > 0 {
+		c.mutex.Unlock()
+		return false
+	}
+	if c.current == l {
+		c.current = nil
+	}
+	c.mutex.Unlock()
+	_ = l.rpc.Close()
+	return true
 }
 
 // open opens a connection.
-func (c *Client) open(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (c *Client) open(ctx context.Context) (*link, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := c.dial(dialCtx, "tcp", c.address)
 	if err != nil {
 		return nil, err
 	}
+	l := newLink(conn)
+	conn = l
 	if c.tls != nil {
 		tlsConn := tls.Client(conn, c.tls)
 		if err := tlsConn.HandshakeContext(ctx); err != nil {
@@ -149,17 +203,18 @@
 	rejectRequests := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no calls are taken here"}
 	})
-	return jsonrpc2.NewConn(context.Background(), newStream(conn), rejectRequests, jsonrpc2.SetLogger(discardLogger{})), nil
+	l.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn, l.observe), rejectRequests, jsonrpc2.SetLogger(discardLogger{}))
+	return l, nil
 }
 
-func (c *Client) closeConn(rpc *jsonrpc2.Conn) {
-	if rpc == nil {
+func (c *Client) close(l *link) {
+	if l == nil {
 		return
 	}
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	_ = rpc.Close()
-	if c.rpc == rpc {
-		c.rpc = nil
+	if c.current == l {
+		c.current = nil
 	}
+	c.mutex.Unlock()
+	_ = l.rpc.Close()
 }
--- a/internal/transporter/dial_test.go
+++ b/internal/transporter/dial_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/transporter"
 )
 
@@ -60,7 +62,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			address, accepted := serveNothing(t)
-			client := transporter.NewClient(address, &tls.Config{ServerName: "control", MinVersion: tls.VersionTLS13})
+			client := transporter.NewClient(address, &tls.Config{ServerName: "control", MinVersion: tls.VersionTLS13}, zap.NewNop())
 			ctx, cancel := context.WithTimeout(t.Context(), hangs)
 			defer cancel()
 			hanging := make(chan error, 1)
--- a/internal/transporter/order_test.go
+++ b/internal/transporter/order_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/transporter"
 )
 
@@ -29,7 +31,7 @@
 		defer mutex.Unlock()
 		handled = append(handled, p.Number)
 		return struct{}{}, nil
-	}), nil)
+	}), nil, zap.NewNop())
 	t.Cleanup(client.Reset)
 	const count = 40
 	for i := range count {
--- a/internal/transporter/power_test.go
+++ b/internal/transporter/power_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // TestMachineIsReachedSoonAfterPowerReturns checks that a sender which connects to a
@@ -24,7 +26,7 @@
 		began := time.Now()
 		local, remote := net.Pipe()
 		go func() { _, _ = remote.Read(make([]byte, 1)) }()
-		client := NewClient("member", nil)
+		client := NewClient("member", nil, zap.NewNop())
 		client.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
 			if time.Since(began) >= powerReturns {
 				return local, nil
--- a/internal/transporter/server.go
+++ b/internal/transporter/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -57,6 +58,7 @@
 			}
 			return err
 		}
+		conn = &idleConn{Conn: conn}
 		if s.tls != nil {
 			conn = tls.Server(conn, s.tls)
 		}
@@ -66,8 +68,15 @@
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	calls := jsonrpc2.HandlerWithError(s.handleRequest)
-	handler := orderedHandler{calls: jsonrpc2.AsyncHandler(calls), notifications: calls}
-	rpc := jsonrpc2.NewConn(ctx, newStream(conn), handler, jsonrpc2.SetLogger(discardLogger{}))
+	pings := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+		return struct{}{}, nil
+	})
+	r := newReadingReporter(conn)
+	handler := orderedHandler{
+		calls: jsonrpc2.AsyncHandler(calls), notifications: calls, pings: jsonrpc2.AsyncHandler(pings), observe: r.observe,
+	}
+	rpc := jsonrpc2.NewConn(ctx, newStream(r, r.observe), handler, jsonrpc2.SetLogger(discardLogger{}))
+	r.connected <- rpc
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.conns[rpc] = struct{}{}
@@ -75,18 +84,49 @@
 	go s.removeOnDisconnect(rpc)
 }
 
+// idleConn fails a read after serverIdleLimit without data, which closes the connection.
+type idleConn struct {
+	net.Conn
+	// deadlineSet is when the deadline for reads was last set.
+	deadlineSet time.Time
+}
+
+// Read implements io.Reader.
+func (i *idleConn) Read(data []byte) (int, error) {
+	if now := time.Now(); now.Sub(i.deadlineSet) > time.Second {
+		i.deadlineSet = now
+		if err := i.SetReadDeadline(now.Add(serverIdleLimit)); err != nil {
+			return 0, err
+		}
+	}
+	return i.Conn.Read(data)
+}
+
 // orderedHandler handles the notifications of a connection one after the other, in the
-// order in which they were sent, and calls concurrently.
+// order in which they were sent, and calls concurrently. Pings are not counted as calls, so
+// that a server at its limit of calls is not taken for silent.
 type orderedHandler struct {
-	calls, notifications jsonrpc2.Handler
+	calls, notifications, pings jsonrpc2.Handler
+	// observe is called when the handling of a large notification begins, see codec. It
+	// delays the pings behind it. Never nil.
+	observe func() (arrived, decoded func())
 }
 
 // Handle implements jsonrpc2.Handler.
 func (h orderedHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
 	if request.Notif {
+		if request.Params != nil && len(*request.Params) > maxPreallocatedPayload {
+			arrived, handled := h.observe()
+			arrived()
+			defer handled()
+		}
 		h.notifications.Handle(ctx, conn, request)
 		return
 	}
+	if request.Method == methodPing {
+		h.pings.Handle(ctx, conn, request)
+		return
+	}
 	h.calls.Handle(ctx, conn, request)
 }
 
--- /dev/null
+++ b/internal/transporter/silence_test.go
@@ -0,0 +1,416 @@
+package transporter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// fakePeer is a server whose connections are pipes, which can go silent.
+type fakePeer struct {
+	server *Server
+	ctx    context.Context
+
+	mutex sync.Mutex
+	open  []*fakeConn
+	dials int
+	// paused makes the peer read nothing and answer nothing until it is closed.
+	paused chan struct{}
+	// delay delays all that the peer sends.
+	delay time.Duration
+	// receiveDelay is the time that the peer takes to receive up to 1 KB, and handleDelay the
+	// time that it takes to handle a notification.
+	receiveDelay, handleDelay time.Duration
+	// isDark makes dials hang.
+	isDark bool
+
+	received atomic.Int64
+}
+
+// bufferedConn is one end of a pipe whose writes do not wait for the other end, as those of
+// a connection with large buffers.
+type bufferedConn struct {
+	net.Conn
+	written chan []byte
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// newBufferedConn returns a connection that passes each write on after the delay.
+func newBufferedConn(conn net.Conn, delay func() time.Duration) *bufferedConn {
+	b := &bufferedConn{Conn: conn, written: make(chan []byte, 10_000), closed: make(chan struct{})}
+	go func() {
+		for {
+			select {
+			case <-b.closed:
+				return
+			case data := <-b.written:
+				time.Sleep(delay())
+				if _, err := conn.Write(data); err != nil {
+					return
+				}
+			}
+		}
+	}()
+	return b
+}
+
+func (b *bufferedConn) Write(data []byte) (int, error) {
+	select {
+	case <-b.closed:
+		return 0, net.ErrClosed
+	case b.written <- slices.Clone(data):
+		return len(data), nil
+	}
+}
+
+func (b *bufferedConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (b *bufferedConn) Close() error {
+	b.once.Do(func() { close(b.closed) })
+	return b.Conn.Close()
+}
+
+// fakeConn is the client's end of a connection to a fakePeer.
+type fakeConn struct {
+	net.Conn
+	peer *fakePeer
+	// noWrites and noReads make the direction silent.
+	noWrites, noReads atomic.Bool
+	closed            chan struct{}
+	closeOnce         sync.Once
+}
+
+func (f *fakeConn) Write(data []byte) (int, error) {
+	if f.noWrites.Load() {
+		return len(data), nil
+	}
+	return f.Conn.Write(data)
+}
+
+func (f *fakeConn) Read(data []byte) (int, error) {
+	for {
+		n, err := f.Conn.Read(data)
+		if err != nil && f.noReads.Load() {
+			<-f.closed
+			return 0, io.EOF
+		}
+		if err != nil || !f.noReads.Load() {
+			return n, err
+		}
+	}
+}
+
+// Close closes the connection. The peer of a silent one does not notice.
+func (f *fakeConn) Close() error {
+	f.closeOnce.Do(func() { close(f.closed) })
+	if f.noWrites.Load() {
+		return f.SetReadDeadline(time.Now())
+	}
+	return f.Conn.Close()
+}
+
+// serverConn is the peer's end of a connection.
+type serverConn struct {
+	net.Conn
+	peer *fakePeer
+}
+
+func (s serverConn) Read(data []byte) (int, error) {
+	s.peer.mutex.Lock()
+	delay := s.peer.receiveDelay
+	s.peer.mutex.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+		data = data[:min(len(data), 1<<10)]
+	}
+	n, err := s.Conn.Read(data)
+	if paused := s.peer.pausedUntil(); paused != nil {
+		<-paused
+	}
+	return n, err
+}
+
+func (p *fakePeer) currentDelay() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.delay
+}
+
+func (p *fakePeer) pausedUntil() chan struct{} {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.paused
+}
+
+func (p *fakePeer) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.dials++
+	if p.isDark {
+		p.mutex.Unlock()
+		<-ctx.Done()
+		p.mutex.Lock()
+		return nil, ctx.Err()
+	}
+	local, remote := net.Pipe()
+	conn := &fakeConn{Conn: newBufferedConn(local, func() time.Duration { return 0 }), peer: p, closed: make(chan struct{})}
+	p.open = append(p.open, conn)
+	p.server.serveConn(p.ctx, &idleConn{Conn: serverConn{newBufferedConn(remote, p.currentDelay), p}})
+	return conn, nil
+}
+
+// silence makes all connections that are open go silent for good.
+func (p *fakePeer) silence(writes, reads bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.open {
+		c.noWrites.Store(writes)
+		c.noReads.Store(reads)
+	}
+}
+
+func (p *fakePeer) set(change func(p *fakePeer)) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	change(p)
+}
+
+func (p *fakePeer) dialCount() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.dials
+}
+
+// runWithPeer runs the test in a bubble with a client of a fake peer. The peer counts
+// notifications, and answers a call of the method "slow" after a minute.
+func runWithPeer(t *testing.T, test func(t *testing.T, p *fakePeer, client *Client)) {
+	t.Helper()
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		p := &fakePeer{ctx: ctx}
+		p.server = NewServer(func(ctx context.Context, method string, _ json.RawMessage) (any, error) {
+			if method == "slow" {
+				select {
+				case <-ctx.Done():
+				case <-time.After(time.Minute):
+				}
+			}
+			p.mutex.Lock()
+			delay := p.handleDelay
+			p.mutex.Unlock()
+			time.Sleep(delay)
+			p.received.Add(1)
+			return struct{}{}, nil
+		}, nil, 100)
+		client := NewClient("peer", nil, zap.NewNop())
+		client.dial = p.dial
+		test(t, p, client)
+		client.Reset()
+		cancel()
+		p.set(func(p *fakePeer) {
+			for _, c := range p.open {
+				_ = c.Conn.Close()
+			}
+		})
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+// notify sends a notification every 75 ms for the time.
+func notify(t *testing.T, client *Client, length time.Duration) {
+	t.Helper()
+	for began := time.Now(); time.Since(began) < length; time.Sleep(75 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		_ = client.Notify(ctx, "append", struct{}{})
+		cancel()
+	}
+}
+
+// TestSilentConnectionIsReplaced guards against a member that sends into a connection that
+// delivers nothing, without noticing, so that the cell elects no leader.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	tests := map[string]struct{ writes, reads bool }{
+		"both ways":   {true, true},
+		"to the peer": {writes: true},
+		"to us":       {reads: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runWithPeer(t, func(t *testing.T, p *fakePeer, client *Client) {
+				notify(t, client, 5*time.Second)
+				if p.dialCount() != 1 {
+					t.Fatalf("%d connections before the silence, want 1", p.dialCount())
+				}
+				for round := range 3 {
+					p.silence(tt.writes, tt.reads)
+					// The core counts as stable 3 s after the silence, and an election takes up to 0.6 s.
+					notify(t, client, 2*time.Second)
+					before := p.received.Load()
+					notify(t, client, time.Second)
+					if got := p.received.Load() - before; got < 12 {
+						t.Errorf("round %d: %d notifications arrived in a second, want about 13", round, got)
+					}
+					if got := p.dialCount(); got != round+2 {
+						t.Errorf("round %d: %d connections were opened, want one after each silence", round, got)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestCallOnSilentConnectionEnds checks that a call without a bound of its own ends when its
+// connection is replaced, as one that may have been carried out.
+func TestCallOnSilentConnectionEnds(t *testing.T) {
+	runWithPeer(t, func(t *testing.T, p *fakePeer, client *Client) {
+		if err := client.Call(t.Context(), "echo", struct{}{}, nil); err != nil {
+			t.Fatal(err)
+		}
+		p.silence(true, true)
+		began := time.Now()
+		if err := client.Call(t.Context(), "echo", struct{}{}, nil); !errors.Is(err, ErrOutcomeUnknown) {
+			t.Errorf("call on a silent connection: got %v, want %v", err, ErrOutcomeUnknown)
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("the call ended after %v", took)
+		}
+		if err := client.Call(t.Context(), "echo", struct{}{}, nil); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestCallThatTakesLongKeepsItsConnection checks that a peer that is at work is not taken
+// for silent, and that silence is noticed while a call waits for its answer.
+func TestCallThatTakesLongKeepsItsConnection(t *testing.T) {
+	tests := map[string]struct {
+		silence bool
+		want    error
+	}{
+		"the connection works":     {},
+		"the connection is silent": {silence: true, want: ErrOutcomeUnknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runWithPeer(t, func(t *testing.T, p *fakePeer, client *Client) {
+				ended := make(chan error, 1)
+				go func() { ended <- client.Call(t.Context(), "slow", struct{}{}, nil) }()
+				time.Sleep(30 * time.Second)
+				p.silence(tt.silence, tt.silence)
+				if err := <-ended; !errors.Is(err, tt.want) {
+					t.Errorf("got %v, want %v", err, tt.want)
+				}
+				if want := 1 + p.dialCount()/2; p.dialCount() != want {
+					t.Errorf("%d connections were opened, want %d", p.dialCount(), want)
+				}
+			})
+		})
+	}
+}
+
+// TestPausedPeerIsNotDialledOverAndOver checks that a peer that answers on no connection keeps
+// the one it has, and gets few others.
+func TestPausedPeerIsNotDialledOverAndOver(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(p *fakePeer)
+		// mostDials bounds the connections in a minute.
+		mostDials int
+	}{
+		"it is paused":             {prepare: func(p *fakePeer) { p.paused = make(chan struct{}) }, mostDials: 20},
+		"it is slow":               {prepare: func(p *fakePeer) { p.delay = 1500 * time.Millisecond }, mostDials: 80},
+		"its machine has no power": {prepare: func(p *fakePeer) { p.isDark = true; p.paused = make(chan struct{}) }, mostDials: 130},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runWithPeer(t, func(t *testing.T, p *fakePeer, client *Client) {
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
+				defer cancel()
+				answered := make(chan error, 1)
+				go func() { answered <- client.Call(ctx, "slow", struct{}{}, nil) }()
+				time.Sleep(time.Second)
+				p.set(tt.prepare)
+				notify(t, client, time.Minute)
+				if got := p.dialCount(); got > tt.mostDials {
+					t.Errorf("%d connections in a minute, want at most %d", got, tt.mostDials)
+				}
+				p.set(func(p *fakePeer) {
+					if p.paused != nil {
+						close(p.paused)
+					}
+					p.paused, p.isDark = nil, false
+				})
+				if err := <-answered; err != nil {
+					t.Errorf("the call that waits got %v, want the answer of the peer that goes on", err)
+				}
+			})
+		})
+	}
+}
+
+// TestServerKeepsNoConnectionThatWasGivenUp checks that silent connections, whose end never
+// arrives, do not stay open on the server.
+func TestServerKeepsNoConnectionThatWasGivenUp(t *testing.T) {
+	runWithPeer(t, func(t *testing.T, p *fakePeer, client *Client) {
+		connCount := func() int {
+			p.server.mutex.Lock()
+			defer p.server.mutex.Unlock()
+			return len(p.server.conns)
+		}
+		for range 5 {
+			notify(t, client, time.Second)
+			p.silence(true, true)
+			notify(t, client, 2*time.Second)
+		}
+		notify(t, client, serverIdleLimit)
+		if got := connCount(); got != 1 {
+			t.Errorf("the server keeps %d connections, want the one in use", got)
+		}
+		time.Sleep(2 * clientIdleLimit)
+		if got := connCount(); got != 0 {
+			t.Errorf("the server keeps %d connections, none of which is used", got)
+		}
+		if err := client.Call(t.Context(), "echo", struct{}{}, nil); err != nil {
+			t.Errorf("call after the idle time: %v", err)
+		}
+	})
+}
+
+// TestLargeCallIsNotSentAgain guards against a connection that is taken for silent while the
+// peer receives, decodes or handles a large call, such as a snapshot: it was sent over and over.
+func TestLargeCallIsNotSentAgain(t *testing.T) {
+	tests := map[string]func(p *fakePeer){
+		"the peer is slow to receive it": func(p *fakePeer) { p.receiveDelay = 2 * time.Millisecond },
+		"the peer is slow to handle it":  func(p *fakePeer) { p.handleDelay = 10 * time.Second },
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			runWithPeer(t, func(t *testing.T, p *fakePeer, client *Client) {
+				p.set(prepare)
+				large := strings.Repeat("x", 8<<20)
+				if err := client.Notify(t.Context(), "snapshot", large); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(20 * time.Second)
+				if got := p.received.Load(); got != 1 {
+					t.Errorf("%d snapshots were handled, want 1", got)
+				}
+				if got := p.dialCount(); got != 1 {
+					t.Errorf("%d connections were opened, want 1", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -30,7 +30,12 @@
 
 // codec writes each JSON object as a frame: its length, in four big-endian bytes,
 // and its encoding.
-type codec struct{}
+type codec struct {
+	// observe is called when a payload above maxPreallocatedPayload begins to arrive. The
+	// functions that it returns are called when it has arrived, and when it is decoded or
+	// has failed. Never nil.
+	observe func() (arrived, decoded func())
+}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (codec) WriteObject(stream io.Writer, object any) error {
@@ -48,7 +53,7 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (codec) ReadObject(stream *bufio.Reader, target any) error {
+func (c codec) ReadObject(stream *bufio.Reader, target any) error {
 	var header [frameHeaderSize]byte
 	if _, err := io.ReadFull(stream, header[:]); err != nil {
 		return err
@@ -57,10 +62,17 @@
 	if length > maxPayload {
 		return fmt.Errorf("a frame of %d bytes is longer than %d", length, maxPayload)
 	}
+	arrived := func() {}
+	if length > maxPreallocatedPayload {
+		var decoded func()
+		arrived, decoded = c.observe()
+		defer decoded()
+	}
 	payload, err := readPayload(stream, int(length))
 	if err != nil {
 		return err
 	}
+	arrived()
 	if u, ok := target.(json.Unmarshaler); ok {
 		return u.UnmarshalJSON(payload)
 	}
@@ -99,18 +111,23 @@
 	writeTimeout time.Duration
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. It closes the connection if it fails, as the peer can't read on
+// after a frame that was cut.
 func (d deadlineConn) Write(data []byte) (int, error) {
 	if err := d.SetWriteDeadline(time.Now().Add(d.writeTimeout)); err != nil {
 		return 0, err
 	}
-	return d.Conn.Write(data)
+	n, err := d.Conn.Write(data)
+	if err != nil {
+		err = errors.Join(err, d.Close())
+	}
+	return n, err
 }
 
 const writeTimeout = 2 * time.Second
 
-func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(deadlineConn{conn, writeTimeout}, codec{})
+func newStream(conn net.Conn, observe func() (arrived, decoded func())) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(deadlineConn{conn, writeTimeout}, codec{observe})
 }
 
 // ErrNotSent is returned if no byte of the call has left this process.
@@ -133,6 +150,12 @@
 	return rpcError
 }
 
+// isAnswer reports whether the error is one that the peer answered.
+func isAnswer(err error) bool {
+	var wire *jsonrpc2.Error
+	return errors.As(err, &wire)
+}
+
 func fromRPCError(err error) error {
 	var wire *jsonrpc2.Error
 	if !errors.As(err, &wire) {
--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -19,6 +19,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/transporter"
 )
@@ -47,7 +49,7 @@
 
 func TestCallIsAnswered(t *testing.T) {
 	t.Parallel()
-	client := transporter.NewClient(serve(t, nil, echo), nil)
+	client := transporter.NewClient(serve(t, nil, echo), nil, zap.NewNop())
 	t.Cleanup(client.Reset)
 	var answer []int
 	if err := client.Call(t.Context(), "echo", []int{1, 2}, &answer); err != nil || len(answer) != 2 {
@@ -60,7 +62,7 @@
 	want := modeler.Refuse(modeler.CodeConflict, "version", "is at 3")
 	client := transporter.NewClient(serve(t, nil, func(context.Context, string, json.RawMessage) (any, error) {
 		return nil, want
-	}), nil)
+	}), nil, zap.NewNop())
 	t.Cleanup(client.Reset)
 	err := client.Call(t.Context(), "apply", struct{}{}, nil)
 	var got *modeler.RefusalError
@@ -76,7 +78,7 @@
 		close(started)
 		<-finish
 		return struct{}{}, nil
-	}), nil)
+	}), nil, zap.NewNop())
 	failed := make(chan error, 1)
 	go func() { failed <- client.Call(t.Context(), "slow", struct{}{}, nil) }()
 	<-started
@@ -85,7 +87,7 @@
 		t.Errorf("call over a connection that broke: got error %v, want %v", err, transporter.ErrOutcomeUnknown)
 	}
 	close(finish)
-	closed := transporter.NewClient("127.0.0.1:1", nil)
+	closed := transporter.NewClient("127.0.0.1:1", nil, zap.NewNop())
 	if err := closed.Call(t.Context(), "any", struct{}{}, nil); !errors.Is(err, transporter.ErrNotSent) {
 		t.Errorf("call without a connection: got error %v, want %v", err, transporter.ErrNotSent)
 	}
@@ -173,7 +175,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			client := transporter.NewClient(address, tt.config)
+			client := transporter.NewClient(address, tt.config, zap.NewNop())
 			t.Cleanup(client.Reset)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
@@ -187,7 +189,7 @@
 
 func TestCallsOfAllLengthsArriveComplete(t *testing.T) {
 	t.Parallel()
-	client := transporter.NewClient(serve(t, nil, echo), nil)
+	client := transporter.NewClient(serve(t, nil, echo), nil, zap.NewNop())
 	t.Cleanup(client.Reset)
 	for _, length := range []int{0, 1, 64 << 10, 1 << 20} {
 		text := strings.Repeat("é", length)
