--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -57,15 +57,11 @@
 	if err != nil {
 		return modeler.Refuse(modeler.CodeUnavailable, "address", "worker at %s doesn't confirm its life: %v", s.Address, err)
 	}
+	if refusal := awaitEarlierLives(ctx, leader, s, conflicts); refusal != nil {
+		return refusal
+	}
 	var refuted []string
 	for _, other := range conflicts {
-		if other.Worker == s.Worker && other.Address == s.Address && other.StartedAtMillis < s.StartedAtMillis {
-			// The confirmed life may have got starts that were meant for the earlier one.
-			if err := leader.AwaitSessionEnd(ctx, other.Key()); err != nil {
-				return modeler.Refuse(modeler.CodeUnavailable, "born", "an earlier life of the worker has not ended: %v", err)
-			}
-			continue
-		}
 		if other.StartedAtMillis > s.StartedAtMillis && len(other.Tasks) == 0 && !leader.IsSessionReachable(other.Key()) {
 			refuted = append(refuted, other.Key())
 		}
@@ -79,6 +75,22 @@
 	return err
 }
 
+// awaitEarlierLives waits until the sessions of earlier lives of the worker at its address
+// have ended: the confirmed life may have got starts that were meant for them.
+func awaitEarlierLives(
+	ctx context.Context, leader *controller.LeaderState, s modeler.Session, conflicts []modeler.Session,
+) *modeler.RefusalError {
+	for _, other := range conflicts {
+		if other.Worker != s.Worker || other.Address != s.Address || other.StartedAtMillis > s.StartedAtMillis {
+			continue
+		}
+		if err := leader.AwaitSessionEnd(ctx, other.Key()); err != nil {
+			return modeler.Refuse(modeler.CodeUnavailable, "born", "an earlier life of the worker has not ended: %v", err)
+		}
+	}
+	return nil
+}
+
 // conflictingSessions returns the sessions that the announcement would end, and the
 // announced session itself if it is at another address.
 func conflictingSessions(state reducer.State, announced modeler.Session) []modeler.Session {
