--- a/cmd/samphirewick-control/internal/commander/gateway.go
+++ b/cmd/samphirewick-control/internal/commander/gateway.go
@@ -57,7 +57,7 @@
 // serve opens the ports and runs the gateway until ctx ends, a signal comes or a
 // part of it fails.
 func (g *gateway) serve(ctx context.Context) error {
-	listener, err := net.Listen("tcp", g.settings.Member.Address)
+	listener, err := net.Listen("tcp", g.settings.Member.ListenAddress())
 	if err != nil {
 		return err
 	}
--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -257,7 +257,7 @@
 // serve opens the ports and runs the member until a signal comes or a component
 // fails.
 func (m *member) serve() error {
-	listener, err := net.Listen("tcp", m.settings.Member.Address)
+	listener, err := net.Listen("tcp", m.settings.Member.ListenAddress())
 	if err != nil {
 		return err
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"strconv"
@@ -87,8 +88,11 @@
 type ControlMember struct {
 	// Name is the prefix of the generated member ID.
 	Name string `ini:"name"`
-	// Address is where the member listens for other processes of the cell.
+	// Address is where other processes of the cell reach the member.
 	Address string `ini:"address"`
+	// Listen is where it listens for them, if that is not Address, such as behind address
+	// translation. It may be empty.
+	Listen string `ini:"listen"`
 	// Admin is the listen address for health checks and metrics.
 	Admin string `ini:"admin"`
 	// DataFolder holds the identity, the replicated log and the snapshots. It may be
@@ -234,6 +238,7 @@
 	return firstError(
 		requireText("member", "name", s.Member.Name),
 		requireAddress("member", "address", s.Member.Address),
+		s.Member.validateListen(),
 		requireAddress("member", "admin", s.Member.Admin),
 		s.requireDataFolder(),
 		validateLevel(s.Log),
@@ -253,6 +258,16 @@
 	)
 }
 
+// ListenAddress returns the address at which the process listens for other processes.
+func (m ControlMember) ListenAddress() string { return cmp.Or(m.Listen, m.Address) }
+
+func (m ControlMember) validateListen() error {
+	if m.Listen == "" {
+		return nil
+	}
+	return requireAddress("member", "listen", m.Listen)
+}
+
 // IsGateway reports whether the process has no data folder, so that it keeps no
 // state and is not a member.
 func (s *Control) IsGateway() bool { return s.Member.DataFolder == "" }
