--- /dev/null
+++ b/internal/supervisor/lapse.go
@@ -0,0 +1,84 @@
+package supervisor
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reducer"
+)
+
+// handleNoAnswer marks the link as unresponsive. Once every lease on the worker
+// has surely expired, it commits the end of the attempts that the worker holds.
+func (l *link) handleNoAnswer(ctx context.Context, cause error) {
+	l.markUnresponsive()
+	if !l.haveLeasesExpired() {
+		waitToRetry(ctx)
+		return
+	}
+	if l.supervisor.options.Confirm() {
+		l.commitLapsed(ctx, cause)
+	}
+	wait(ctx, lostPollDelay)
+}
+
+func (l *link) markUnresponsive() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.unresponsive = true
+}
+
+// commitLapsed commits the end of the attempts that the worker holds, except those that
+// may still run on a later life of it.
+func (l *link) commitLapsed(ctx context.Context, cause error) {
+	state := l.supervisor.options.State()
+	session, ok := state.Sessions.Get(l.session.Key())
+	if !ok || len(session.Tasks) == 0 {
+		return
+	}
+	var ends []reducer.AttemptEnd
+	for _, name := range session.Tasks {
+		w, _ := state.Workflows.Get(name.Workflow)
+		task, _ := w.Task(name)
+		a := modeler.Attempt{Task: name, Session: session.Key(), Number: task.Attempt}
+		if !l.mayRunLater(a) {
+			ends = append(ends, reducer.AttemptEnd{
+				Attempt: a, Outcome: reducer.AttemptLapsed, Checkpoint: l.checkpointOf(name, task.Attempt),
+			})
+		}
+	}
+	l.log().Warn("worker lease expired", zap.String("session", session.Key()), zap.Int("tasks", len(session.Tasks)),
+		zap.Int("ends", len(ends)), zap.Error(cause))
+	if len(ends) == 0 {
+		return
+	}
+	_ = l.supervisor.ends.commit(ctx, ends)
+}
+
+// haveLeasesExpired reports whether every lease on the worker has surely expired.
+// If so, it also blocks starts until the worker answers.
+func (l *link) haveLeasesExpired() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.now()
+	// An earlier leader's last order was sent before this one began to lead.
+	ended := l.supervisor.options.Since + workerLease*percent/minClockRate + expiryMargin
+	if l.clock.known {
+		ended = max(ended, l.clock.reachedBy(l.deadline))
+	}
+	if now < ended {
+		return false
+	}
+	l.startsBlocked = true
+	return true
+}
+
+func (l *link) checkpointOf(name modeler.TaskName, number int) string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if o, ok := l.orders[name]; ok && o.number == number {
+		return o.checkpoint
+	}
+	return ""
+}
--- a/internal/transporter/reading.go
+++ b/internal/transporter/reading.go
@@ -42,22 +42,26 @@
 	}
 	var hasArrived atomic.Bool
 	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- r.report(ctx, &hasArrived) }()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.report(ctx, &hasArrived)
+	}()
 	return func() { hasArrived.Store(true) }, func() {
 		stop()
-		_ = <-ended // The connection has failed, which its reader notices too.
+		<-ended
 	}
 }
 
-func (r *readingReporter) report(ctx context.Context, hasArrived *atomic.Bool) error {
+// report reports until the context ends, or the connection fails, which its reader notices too.
+func (r *readingReporter) report(ctx context.Context, hasArrived *atomic.Bool) {
 	ticker := time.NewTicker(readingInterval)
 	defer ticker.Stop()
 	reported := r.received.Load()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-ticker.C:
 		}
 		received := r.received.Load()
@@ -65,8 +69,8 @@
 			continue
 		}
 		reported = received
-		if err := r.rpc.Notify(ctx, methodReading, struct{}{}); err != nil {
-			return err
+		if r.rpc.Notify(ctx, methodReading, struct{}{}) != nil {
+			return
 		}
 	}
 }
