fix: a server that is late with notifications is not taken for silent

Pings wait behind notifications that the server has not handled yet; the client opened another connection, on which the server answered at once, and later messages overtook the earlier ones.

--- a/internal/transporter/link.go
+++ b/internal/transporter/link.go
@@ -14,8 +14,8 @@
 	// methodPing is answered by the server of the connection itself. A server that does
 	// not know it answers with an error, which shows as well that the connection works.
 	methodPing = "transporter.ping"
-	// pingAfter is how long a peer may owe an answer before it is pinged. Notifications are
-	// not answered, so that a connection that carries only these is pinged at this interval.
+	// pingAfter is how long a peer may owe an answer before it is pinged. It is above
+	// readingInterval, so that a connection that carries notifications is not pinged.
 	pingAfter = 400 * time.Millisecond
 	// silenceLimit is how long a peer may owe an answer, to the ping too, before the
 	// connection is suspected. An election after that ends within 3 s of the silence.
@@ -27,8 +27,7 @@
 	maxPatience     = 4 * time.Second
 	// minProbeInterval is the interval of the attempts to reach a peer that can't be dialled.
 	minProbeInterval = 500 * time.Millisecond
-	// methodReading is a notification of the server that it reads or decodes a large call.
-	// It handles no ping meanwhile.
+	// methodReading is a notification of the server that it reads what the client sends.
 	methodReading = "transporter.reading"
 	// readingInterval is the interval of these notifications.
 	readingInterval = 300 * time.Millisecond
--- a/internal/transporter/peer_test.go
+++ b/internal/transporter/peer_test.go
@@ -40,22 +40,29 @@
 // a connection with large buffers.
 type bufferedConn struct {
 	net.Conn
-	written chan []byte
+	written chan delayedWrite
+	delay   func() time.Duration
 	closed  chan struct{}
 	once    sync.Once
 }
 
+// delayedWrite is data that is passed on at the time due.
+type delayedWrite struct {
+	data []byte
+	due  time.Time
+}
+
 // newBufferedConn returns a connection that passes each write on after the delay.
 func newBufferedConn(conn net.Conn, delay func() time.Duration) *bufferedConn {
-	b := &bufferedConn{Conn: conn, written: make(chan []byte, 10_000), closed: make(chan struct{})}
+	b := &bufferedConn{Conn: conn, written: make(chan delayedWrite, 10_000), delay: delay, closed: make(chan struct{})}
 	go func() {
 		for {
 			select {
 			case <-b.closed:
 				return
-			case data := <-b.written:
-				time.Sleep(delay())
-				if _, err := conn.Write(data); err != nil {
+			case write := <-b.written:
+				time.Sleep(time.Until(write.due))
+				if _, err := conn.Write(write.data); err != nil {
 					return
 				}
 			}
@@ -68,7 +75,7 @@
 	select {
 	case <-b.closed:
 		return 0, net.ErrClosed
-	case b.written <- slices.Clone(data):
+	case b.written <- delayedWrite{slices.Clone(data), time.Now().Add(b.delay())}:
 		return len(data), nil
 	}
 }
--- a/internal/transporter/silence_test.go
+++ b/internal/transporter/silence_test.go
@@ -193,3 +193,23 @@
 		})
 	}
 }
+
+// TestBacklogOfNotificationsStaysInOrder guards against a connection that is taken for silent while
+// the peer is late with many small notifications, so that later messages overtake them.
+func TestBacklogOfNotificationsStaysInOrder(t *testing.T) {
+	runWithPeer(t, func(t *testing.T, p *fakePeer, client *Client) {
+		const count = 100
+		p.set(func(p *fakePeer) { p.handleDelay = 150 * time.Millisecond })
+		for range count {
+			if err := client.Notify(t.Context(), "append", strings.Repeat("x", 4<<10)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := client.Call(t.Context(), "flush", struct{}{}, nil); err != nil {
+			t.Fatal(err)
+		}
+		if got := p.received.Load(); got != count+1 || p.dialCount() != 1 {
+			t.Errorf("%d messages handled before the answer of the last one, want %d; %d connections", got, count+1, p.dialCount())
+		}
+	})
+}
