fix: a peer that goes on after a pause keeps its connections

The client now gives the peer 0.2 s more, or twice the time that the new connection's answer took, before it goes over, and suspects a connection only for silence after a ping.

Evidence: TestPeerThatGoesOnKeepsItsConnection fails before ("the connection broke before the answer").

--- a/internal/transporter/link.go
+++ b/internal/transporter/link.go
@@ -25,6 +25,9 @@
 	// finds the connections that were given up when it goes on.
 	initialPatience = 500 * time.Millisecond
 	maxPatience     = 4 * time.Second
+	// minGrace is how long the peer may go on owing an answer after it has answered on a new
+	// connection. It gets twice the time that this took, if that is longer.
+	minGrace = 200 * time.Millisecond
 	// minProbeInterval is the interval of the attempts to reach a peer that can't be dialled.
 	minProbeInterval = 500 * time.Millisecond
 	// methodReading is a notification of the server that it reads what the client sends.
@@ -187,29 +190,27 @@
 // awaitAnswers watches the link while the peer owes an answer. It reports whether the
 // link is still used then.
 func (c *Client) awaitAnswers(ctx context.Context, l *link) bool {
-	var pinged time.Time
+	// pingedFor is the time since which an answer was owed when the peer was last pinged.
+	var pingedFor, pingedAt time.Time
 	for {
 		since, isOwed := l.owed()
 		if !isOwed {
 			return true
 		}
-		silence := time.Since(since)
+		due := since.Add(pingAfter)
+		if pingedFor.Equal(since) {
+			due = pingedAt.Add(silenceLimit - pingAfter)
+		}
 		switch {
-		case silence >= silenceLimit:
-			if !c.replaceSilent(ctx, l, since) {
+		case time.Now().Before(due):
+			if !l.wait(time.Until(due)) {
 				return false
 			}
-			continue
-		case silence >= pingAfter && pinged != since:
-			pinged = since
+		case !pingedFor.Equal(since):
+			pingedFor, pingedAt = since, time.Now()
 			// Its answer shows in the link's reads; sending may block on a full connection.
 			go func() { _ = l.ping(ctx) }()
-		}
-		next := silenceLimit
-		if silence < pingAfter {
-			next = pingAfter
-		}
-		if !l.wait(next - silence) {
+		case !c.replaceSilent(ctx, l, since):
 			return false
 		}
 	}
@@ -224,6 +225,10 @@
 	for !l.hasReadSince(since) {
 		began := time.Now()
 		next, err := c.probe(ctx, patience)
+		if err == nil {
+			// A peer that was paused or late answers on both, in any order.
+			l.wait(max(minGrace, 2*time.Since(began)))
+		}
 		switch {
 		case err == nil && l.hasReadSince(since):
 			_ = next.rpc.Close()
--- a/internal/transporter/peer_test.go
+++ b/internal/transporter/peer_test.go
@@ -93,8 +93,10 @@
 	peer *fakePeer
 	// noWrites and noReads make the direction silent.
 	noWrites, noReads atomic.Bool
-	closed            chan struct{}
-	closeOnce         sync.Once
+	// lateBy delays what is read from now on; guarded by the peer's mutex.
+	lateBy    time.Duration
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
 func (f *fakeConn) Write(data []byte) (int, error) {
@@ -107,6 +109,10 @@
 func (f *fakeConn) Read(data []byte) (int, error) {
 	for {
 		n, err := f.Conn.Read(data)
+		f.peer.mutex.Lock()
+		lateBy := f.lateBy
+		f.peer.mutex.Unlock()
+		time.Sleep(lateBy)
 		if err != nil && f.noReads.Load() {
 			<-f.closed
 			return 0, io.EOF
--- a/internal/transporter/silence_test.go
+++ b/internal/transporter/silence_test.go
@@ -107,10 +107,14 @@
 		prepare func(p *fakePeer)
 		// mostDials bounds the connections in a minute.
 		mostDials int
+		// resumes is true if the peer answers at once after that.
+		resumes bool
 	}{
-		"it is paused":             {prepare: func(p *fakePeer) { p.paused = make(chan struct{}) }, mostDials: 20},
-		"it is slow":               {prepare: func(p *fakePeer) { p.delay = 1500 * time.Millisecond }, mostDials: 80},
-		"its machine has no power": {prepare: func(p *fakePeer) { p.isDark = true; p.paused = make(chan struct{}) }, mostDials: 130},
+		"it is paused": {prepare: func(p *fakePeer) { p.paused = make(chan struct{}) }, mostDials: 20, resumes: true},
+		"it is slow":   {prepare: func(p *fakePeer) { p.delay = 1500 * time.Millisecond }, mostDials: 80},
+		"its machine has no power": {
+			prepare: func(p *fakePeer) { p.isDark = true; p.paused = make(chan struct{}) }, mostDials: 130, resumes: true,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -131,6 +135,11 @@
 					}
 					p.paused, p.isDark = nil, false
 				})
+				before := p.dialCount()
+				notify(t, client, 10*time.Second)
+				if got := p.dialCount(); tt.resumes && got > before+1 {
+					t.Errorf("%d connections after the peer went on, want one that was being tried at most", got-before)
+				}
 				if err := <-answered; err != nil {
 					t.Errorf("the call that waits got %v, want the answer of the peer that goes on", err)
 				}
@@ -213,3 +222,23 @@
 		}
 	})
 }
+
+// TestPeerThatGoesOnKeepsItsConnection guards against calls that break as a peer that was paused
+// answers on the new connection a moment before it answers on the old one.
+func TestPeerThatGoesOnKeepsItsConnection(t *testing.T) {
+	runWithPeer(t, func(t *testing.T, p *fakePeer, client *Client) {
+		answered := make(chan error, 1)
+		go func() { answered <- client.Call(t.Context(), "slow", struct{}{}, nil) }()
+		time.Sleep(time.Second)
+		p.set(func(p *fakePeer) { p.paused = make(chan struct{}) })
+		time.Sleep(3 * time.Second)
+		p.set(func(p *fakePeer) {
+			p.open[0].lateBy = 100 * time.Millisecond
+			close(p.paused)
+			p.paused = nil
+		})
+		if err := <-answered; err != nil {
+			t.Errorf("the call that waits got %v", err)
+		}
+	})
+}
