fix: a follower answers reads only by what a leader surely knew to be current

What callers saw: once, just after all processes of the core were killed, an entry answered by an older configuration than before. Any read that a follower answers could be older than it was taken for, by seconds.

Cause: a follower took its state for current, as of the arrival, once it had applied up to the commit index of its leader's last append. A new leader that has not committed in its term knows less than was committed; a deposed one does not know of its successor's commits; an append that has waited is old.

Why it works: a reply to an append carries the follower's time, and a leader that held its lease when the reply arrived, and has committed in its term, repeats it in later appends. Nobody else led by then, and a commit in the term covers all earlier ones, so nothing was committed beyond the append's commit index at that time. Messages of earlier releases lack the time; followers then leave reads to the leader. Nothing on disk changes.

TestLateAppendMakesNoMemberCurrent gives its appends such times, and still wants that an append which later ones have overtaken makes the member no more current than before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -111,8 +111,7 @@
 	leaseUntil atomic.Int64
 	// leaseChanged is closed, and replaced, when the lease or the leadership changes.
 	leaseChanged atomic.Pointer[chan struct{}]
-	// currentAsOf is when the state of a follower was surely current, in nanoseconds of
-	// the coordinator's clock; zero if it never was.
+	// currentAsOf is the core's CurrentAsOf, in nanoseconds.
 	currentAsOf atomic.Int64
 	// sinceLeaderContact is the core's SinceLeaderContact, in nanoseconds.
 	sinceLeaderContact atomic.Int64
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -171,8 +171,7 @@
 }
 
 // IsStateRecent reports whether the state of this member, which may be a follower,
-// holds all that was committed longer ago than the age, apart from what a message of
-// the leader takes to arrive.
+// holds all that any member had applied longer ago than the age.
 func (c *Coordinator) IsStateRecent(age time.Duration) bool {
 	asOf := time.Duration(c.currentAsOf.Load())
 	return c.ConfirmLeadership() || (asOf > 0 && c.Now()-asOf <= age)
--- a/internal/replicator/cell_test.go
+++ b/internal/replicator/cell_test.go
@@ -67,6 +67,8 @@
 	maxBatch int
 	// sentEntries counts the entries sent to each member, lost ones included.
 	sentEntries map[string]int
+	// onStep, if not nil, is called before and after the members act in a step.
+	onStep func()
 }
 
 // smallBatch makes messages of few entries, so that a cell sends many.
@@ -141,6 +143,7 @@
 func (c *cell) run(duration time.Duration) {
 	for until := c.now + duration; c.now < until; {
 		c.now += stepInterval
+		c.notifyStep()
 		c.deliver()
 		for _, n := range c.instances {
 			if n.pausedUntil <= c.now {
@@ -149,6 +152,13 @@
 			}
 		}
 		c.checkLeases()
+		c.notifyStep()
+	}
+}
+
+func (c *cell) notifyStep() {
+	if c.onStep != nil {
+		c.onStep()
 	}
 }
 
--- a/internal/replicator/contact_test.go
+++ b/internal/replicator/contact_test.go
@@ -32,15 +32,18 @@
 	c := New(Config{ID: "a", ElectionTimeout: time.Second, HeartbeatInterval: time.Second / 10},
 		RestoredState{Snapshot: Snapshot{Members: members}}, 0)
 	entries := []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}}
-	c.Step(time.Second, Message{Kind: MessageAppend, From: "b", Term: 1, Entries: entries[:1], Commit: 1})
+	first := Message{Kind: MessageAppend, From: "b", Term: 1, Entries: entries[:1], Commit: 1, ReplySentAt: time.Second}
+	c.Step(2*time.Second, first)
 	c.Ready()
 	c.Advance()
 	caughtUp := c.CurrentAsOf()
 	if caughtUp != time.Second {
 		t.Fatalf("a member that has applied all is current as of %v, want 1s", caughtUp)
 	}
-	c.Step(2*time.Second, Message{Kind: MessageAppend, From: "b", Term: 1, Index: 1, LogTerm: 1, Commit: 2})
-	c.Step(3*time.Second, Message{Kind: MessageAppend, From: "b", Term: 1, Index: 1, LogTerm: 1, Commit: 1})
+	c.Step(3*time.Second, Message{
+		Kind: MessageAppend, From: "b", Term: 1, Index: 1, LogTerm: 1, Commit: 2, ReplySentAt: 2 * time.Second,
+	})
+	c.Step(4*time.Second, first)
 	if got := c.CurrentAsOf(); got != caughtUp {
 		t.Errorf("a member that lacks a committed entry is current as of %v, want %v", got, caughtUp)
 	}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -25,6 +25,8 @@
 	ackedSentAt time.Duration
 	// answeredAt is when an answer of the member last arrived; zero if none has.
 	answeredAt time.Duration
+	// replySentAt is the ReplySentAt of the last reply that arrived while this leader held its lease.
+	replySentAt time.Duration
 	// trackedSince is when this leader began to track the member.
 	trackedSince time.Duration
 	// snapshotSentAt is when a snapshot was sent whose reply is outstanding; zero if there is none.
@@ -154,7 +156,8 @@
 		Commit:  c.commitIndex,
 		SentAt:  c.now,
 
-		Patience: c.patience,
+		ReplySentAt: c.replySentAtCoveredByCommit(p),
+		Patience:    c.patience,
 	})
 	c.countEntries(p, previousIndex, lastSent)
 	p.nextIndex = lastSent + 1
@@ -175,30 +178,51 @@
 	c.sendBeforeSync(Message{Kind: MessageSnapshot, To: id, Snapshot: &snapshot, SentAt: c.now, Patience: c.patience})
 }
 
+// replySentAtCoveredByCommit returns the time of the member's clock up to which nothing was
+// committed beyond the commit index; zero if none is known. While this leader holds its lease
+// no other leads, but what earlier leaders committed is known only after a commit in this term.
+func (c *Core) replySentAtCoveredByCommit(p *progress) time.Duration {
+	if c.termAt(c.commitIndex) != c.hardState.Term {
+		return 0
+	}
+	return p.replySentAt
+}
+
 func (c *Core) handleAppend(m Message) {
 	if c.role != RoleFollower {
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.recordLeaderContact(m)
-	// A message of a connection that was given up may arrive after later ones.
-	c.leaderCommit = max(c.leaderCommit, m.Commit)
-	reply := Message{Kind: MessageAppendReply, To: m.From, SentAt: m.SentAt}
+	reply := c.mergeAppend(m)
+	c.recordCurrent(m)
+	c.sendAfterSync(reply)
+}
+
+// mergeAppend takes over what the log does not hold of an append, and returns the reply.
+func (c *Core) mergeAppend(m Message) Message {
+	reply := Message{Kind: MessageAppendReply, To: m.From, SentAt: m.SentAt, ReplySentAt: c.now}
 	if m.Index < c.commitIndex {
 		reply.Index = c.commitIndex
-		c.sendAfterSync(reply)
-		return
+		return reply
 	}
 	if m.Index > c.lastIndex() || c.termAt(m.Index) != m.LogTerm {
 		reply.Reject = true
 		reply.Rejected = m.Index
 		reply.Index = min(m.Index-1, c.lastIndex())
-		c.sendAfterSync(reply)
-		return
+		return reply
 	}
 	c.mergeEntries(m.Entries)
 	reply.Index = m.Index + uint64(len(m.Entries))
 	c.advanceCommitIndex(min(m.Commit, reply.Index))
-	c.sendAfterSync(reply)
+	return reply
+}
+
+// recordCurrent records as of when this member surely knows all that was committed. It
+// ignores a time that its clock has not reached, which is from before the machine restarted.
+func (c *Core) recordCurrent(m Message) {
+	if c.commitIndex >= m.Commit && m.ReplySentAt <= c.now {
+		c.currentAsOf = max(c.currentAsOf, m.ReplySentAt)
+	}
 }
 
 func (c *Core) recordLeaderContact(m Message) {
@@ -265,6 +289,9 @@
 	}
 	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
 	p.answeredAt = c.now
+	if m.ReplySentAt > 0 && c.LeaseUntil() > c.now {
+		p.replySentAt = m.ReplySentAt
+	}
 	if m.Kind == MessageSnapshotReply || m.SentAt >= p.snapshotSentAt+c.config.ElectionTimeout {
 		// The snapshot has arrived, or is lost, since messages arrive in order.
 		p.snapshotSentAt = 0
@@ -350,15 +377,10 @@
 	return r
 }
 
-// CurrentAsOf returns a time such that this member, which follows a leader, has applied
-// all that the leader had committed when it sent what arrived then. It returns zero
-// if the member has never caught up with a leader.
-func (c *Core) CurrentAsOf() time.Duration {
-	if c.role == RoleFollower && c.leader != "" && c.lastApplied >= c.leaderCommit {
-		c.currentAsOf = c.lastLeaderContact
-	}
-	return c.currentAsOf
-}
+// CurrentAsOf returns a time of this member's clock such that, once it has applied what Ready
+// has returned, it has applied all that any member knew to be committed by that time. It
+// returns zero if no such time is known. It never goes back.
+func (c *Core) CurrentAsOf() time.Duration { return c.currentAsOf }
 
 // Advance reports that the work of the last Ready is on disk. A leader that is
 // no longer a voter steps down once the membership without it is committed.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -88,6 +88,10 @@
 	// SentAt is the time of the leader's clock when it sent the message; the
 	// reply repeats it.
 	SentAt time.Duration `json:"sentAt,omitempty"`
+	// ReplySentAt is the time of the follower's clock when it made a reply to an append.
+	// In an append it is that of an earlier reply of the receiver, and states that nothing
+	// was committed beyond Commit by then; zero if the leader can't state that of any.
+	ReplySentAt time.Duration `json:"replySentAt,omitempty"`
 	// Patience is by how much longer than usual the receiver of an append or a snapshot
 	// waits for the leader before it starts an election, or votes in one.
 	Patience time.Duration `json:"patience,omitempty"`
@@ -184,10 +188,8 @@
 	// patience is what this member asks for as a leader, leaderPatience what the leader
 	// has asked for; zero if none is known. Both are at most maxPatience.
 	patience, leaderPatience time.Duration
-	// leaderCommit is the highest commit index that a leader has stated.
-	leaderCommit uint64
-	// currentAsOf is the latest contact to a leader up to which all that was committed
-	// is in Ready.Committed or before it; zero if there was none.
+	// currentAsOf is the latest time up to which nothing was committed beyond the commit
+	// index, as a leader has stated; zero if none has.
 	currentAsOf time.Duration
 	// nextHeartbeat is when a leader sends the next heartbeats.
 	nextHeartbeat time.Duration
