fix: starts that no worker confirmed do not count as begun

Cause: the phase of a workflow is running from the commit of its first starts, and every end but a refusal set Begun, also the lapse of a start that no worker had confirmed or listed. A stop for a start that was not on record, and the end of a session, did the same.

Why it works: the leader records when a worker confirms a start or lists the attempt. The first begin of each workflow is replicated, along with ends or every 250 ms at most, so that followers and later leaders know it. An attempt that is over without it ends as unconfirmed, which sets no Begun. Workflow.ReportedPhase is the one place that decides what callers are told: a workflow waits until it is known to have begun. Ends by an expired lease are logged too, with this outcome, so that explain shows them.

--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -258,8 +258,7 @@
 	// submission arrived, and holds one run without tasks once the workflow has ended
 	// and no task holds resources.
 	Runs []StepRun `json:"runs"`
-	// Begun is true once an attempt has ended that surely ran. Before, a workflow is
-	// running only while a task may run.
+	// Begun is true once a worker has confirmed or listed one of the workflow's attempts.
 	Begun bool `json:"begun,omitempty"`
 	// Ended is the time at which the workflow reached a final phase; zero before.
 	Ended time.Time `json:"ended,omitzero"`
@@ -289,6 +288,15 @@
 	return w
 }
 
+// ReportedPhase returns the phase that callers are told. A workflow whose starts are
+// committed is waiting for them until one of its attempts is known to have begun.
+func (w Workflow) ReportedPhase() WorkflowPhase {
+	if w.Phase == WorkflowRunning && !w.Begun {
+		return WorkflowWaiting
+	}
+	return w.Phase
+}
+
 // IsEnded reports whether the phase is final.
 func (w Workflow) IsEnded() bool {
 	return w.Phase == WorkflowFinished || w.Phase == WorkflowFailed || w.Phase == WorkflowCancelled
--- a/internal/reducer/command.go
+++ b/internal/reducer/command.go
@@ -71,10 +71,15 @@
 	Workflow *modeler.WorkflowSpec `json:"workflow,omitempty"`
 	// Attempts are the attempts to start. Their numbers are assigned when the
 	// command is applied.
-	Attempts []modeler.Attempt   `json:"attempts,omitempty"`
-	Ends     []AttemptEnd        `json:"ends,omitempty"`
-	Session  *modeler.Session    `json:"session,omitempty"`
-	Table    *modeler.QueueTable `json:"table,omitempty"`
+	Attempts []modeler.Attempt `json:"attempts,omitempty"`
+	// Begins are attempts that workers have confirmed or listed.
+	Begins []modeler.Attempt `json:"begins,omitempty"`
+	Ends   []AttemptEnd      `json:"ends,omitempty"`
+	// ReportsBegins is true if the leader commits begins, so that an attempt whose begin
+	// is not committed when its session ends is unconfirmed.
+	ReportsBegins bool                `json:"reportsBegins,omitempty"`
+	Session       *modeler.Session    `json:"session,omitempty"`
+	Table         *modeler.QueueTable `json:"table,omitempty"`
 }
 
 // WorkerSession identifies one session of one worker.
--- a/internal/reducer/sessions.go
+++ b/internal/reducer/sessions.go
@@ -44,11 +44,15 @@
 }
 
 func (t *transition) endSession(s modeler.Session) {
+	outcome := AttemptLapsed
+	if t.command.ReportsBegins {
+		outcome = AttemptUnconfirmed
+	}
 	for _, name := range s.Tasks {
 		w, _ := t.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
 		attempt := modeler.Attempt{Task: name, Session: s.Key(), Number: task.Attempt}
-		t.endAttempt(AttemptEnd{Attempt: attempt, Outcome: AttemptLapsed})
+		t.endAttempt(AttemptEnd{Attempt: attempt, Outcome: outcome})
 	}
 	t.Sessions = t.Sessions.Delete(s.Key())
 	t.markChanged(RecordSession, s.Key())
--- a/internal/reducer/workflows.go
+++ b/internal/reducer/workflows.go
@@ -28,10 +28,16 @@
 	// AttemptLapsed means that the attempt ended because the worker's lease or
 	// session ended.
 	AttemptLapsed AttemptOutcome = "lapsed"
+	// AttemptUnconfirmed means that the attempt is over, and that no worker confirmed or
+	// listed it: it may have run.
+	AttemptUnconfirmed AttemptOutcome = "unconfirmed"
 	// AttemptRefused means that the attempt never started.
 	AttemptRefused AttemptOutcome = "refused"
 )
 
+// hasBegun reports whether an attempt that ended so is known to have begun.
+func (o AttemptOutcome) hasBegun() bool { return o != AttemptRefused && o != AttemptUnconfirmed }
+
 // maxFailedOn is the maximum number of workers in the FailedOn list of a task;
 // the oldest is dropped first.
 const maxFailedOn = 8
@@ -198,9 +204,12 @@
 	return step.CapacityNeed().FitsIn(session.Free())
 }
 
-// endAttempts applies the ends of attempts. An end is ignored unless it is about
-// the attempt that currently holds resources.
+// endAttempts applies the begins and the ends of attempts. Either is ignored unless it is
+// about the attempt that currently holds resources.
 func (t *transition) endAttempts() *modeler.RefusalError {
+	for _, a := range t.command.Begins {
+		t.beginAttempt(a)
+	}
 	for _, e := range t.command.Ends {
 		if t.endAttempt(e) {
 			t.result.Accepted++
@@ -209,11 +218,26 @@
 	return nil
 }
 
+// beginAttempt records that the attempt's workflow has begun.
+func (t *transition) beginAttempt(a modeler.Attempt) {
+	if w, _, ok := t.heldTask(a); ok && !w.Begun {
+		w.Begun = true
+		t.setWorkflow(w)
+	}
+}
+
+// heldTask returns the attempt's workflow and task, and whether it is this attempt that
+// holds resources.
+func (t *transition) heldTask(a modeler.Attempt) (modeler.Workflow, modeler.WorkflowTask, bool) {
+	w, ok := t.Workflows.Get(a.Task.Workflow)
+	task, exists := w.Task(a.Task)
+	return w, task, ok && exists && task.HoldsResources() && task.Session == a.Session && task.Attempt == a.Number
+}
+
 func (t *transition) endAttempt(e AttemptEnd) bool {
 	name := e.Attempt.Task
-	w, ok := t.Workflows.Get(name.Workflow)
-	task, exists := w.Task(name)
-	if !ok || !exists || !task.HoldsResources() || task.Session != e.Attempt.Session || task.Attempt != e.Attempt.Number {
+	w, task, ok := t.heldTask(e.Attempt)
+	if !ok {
 		return false
 	}
 	step := w.Spec.Steps[name.Step]
@@ -230,7 +254,7 @@
 	}
 	run, failed := t.applyAttemptEnd(w.Spec, run.WithTask(name.Index, task), e)
 	w = w.WithRun(position, run)
-	w.Begun = w.Begun || e.Outcome != AttemptRefused
+	w.Begun = w.Begun || e.Outcome.hasBegun()
 	if failed && !w.IsEnded() {
 		t.endWorkflow(w, modeler.WorkflowFailed)
 		return true
@@ -251,7 +275,7 @@
 	case w.HasFinished():
 		return modeler.WorkflowFinished
 	case !w.Begun && !w.HoldsResources():
-		// No task has started, although starts were committed.
+		// No task is known to have begun, although starts were committed.
 		return modeler.WorkflowWaiting
 	default:
 		return w.Phase
--- a/internal/responder/reads.go
+++ b/internal/responder/reads.go
@@ -58,7 +58,7 @@
 		w, known := state.Workflows.Get(id)
 		known = known && len(w.Runs) > 0
 		if w.IsEnded() || !time.Now().Before(deadline) {
-			return messenger.WorkflowStatus{ID: id, Phase: w.Phase, Table: state.QueueTable.Version}, known
+			return messenger.WorkflowStatus{ID: id, Phase: w.ReportedPhase(), Table: state.QueueTable.Version}, known
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/responder/reads_test.go
+++ b/internal/responder/reads_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reducer"
 	"github.com/samphirewick/samphirewick/internal/runner"
 )
 
@@ -69,6 +70,57 @@
 	})
 }
 
+// TestEveryMemberShowsWorkflowsThatHaveNotBegunAsWaiting guards against members that leave
+// out of the number of waiting workflows those whose starts are unconfirmed.
+func TestEveryMemberShowsWorkflowsThatHaveNotBegunAsWaiting(t *testing.T) {
+	runInCell(t, func(ctx context.Context, c *cell, _ *runner.Group) {
+		call := c.submitForReading()
+		attempt := modeler.Attempt{Task: modeler.TaskName{Workflow: "5c0e7a21d94b36f8"}, Session: "w0@1"}
+		first := attempt
+		first.Number = 1
+		steps := []struct {
+			command     reducer.Command
+			wantPhase   modeler.WorkflowPhase
+			wantWaiting int
+		}{
+			{
+				command: reducer.Command{Kind: reducer.KindAnnounceSession, Session: &modeler.Session{
+					Worker: "w0", StartedAtMillis: 1, Address: "w0:1", Service: "planner", Capacity: modeler.Resources{Processors: 1},
+				}},
+				wantPhase: modeler.WorkflowWaiting, wantWaiting: 1,
+			},
+			{
+				command:   reducer.Command{Kind: reducer.KindStartAttempts, Attempts: []modeler.Attempt{attempt}},
+				wantPhase: modeler.WorkflowWaiting, wantWaiting: 1,
+			},
+			{
+				command:   reducer.Command{Kind: reducer.KindEndAttempts, Begins: []modeler.Attempt{first}},
+				wantPhase: modeler.WorkflowRunning,
+			},
+		}
+		for _, s := range steps {
+			if result, err := c.leader().running().coordinator.Propose(ctx, s.command); err != nil || result.Refusal != nil {
+				t.Errorf("%s was not applied: %v", s.command.Kind, err)
+				return
+			}
+			time.Sleep(time.Second)
+			for _, m := range c.members {
+				var workflow messenger.WorkflowStatus
+				var queue messenger.QueueStatus
+				err := c.callMember(m, "entry", messenger.MethodGetWorkflow, call, &workflow)
+				if err != nil || workflow.Phase != s.wantPhase {
+					t.Errorf("%s after %s: workflow is shown as %s (%v), want %s", m.id, s.command.Kind, workflow.Phase, err, s.wantPhase)
+				}
+				queueCall := messenger.WorkflowCall{Target: messenger.RequestTarget{Host: "h", Path: "/q/"}}
+				err = c.callMember(m, "entry", messenger.MethodGetQueue, queueCall, &queue)
+				if err != nil || queue.Waiting != s.wantWaiting {
+					t.Errorf("%s after %s: %d workflows wait (%v), want %d", m.id, s.command.Kind, queue.Waiting, err, s.wantWaiting)
+				}
+			}
+		}
+	})
+}
+
 func TestFollowerLeavesReadsToTheLeader(t *testing.T) {
 	tests := map[string]struct {
 		change func(*messenger.WorkflowCall)
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -31,7 +31,7 @@
 	if err := r.confirmAnnouncement(ctx, leader, call.Session); err != nil {
 		return nil, err
 	}
-	result, err := r.propose(ctx, reducer.Command{Kind: reducer.KindAnnounceSession, Session: &call.Session})
+	result, err := r.propose(ctx, reducer.Command{Kind: reducer.KindAnnounceSession, ReportsBegins: true, Session: &call.Session})
 	r.options.Log.Info("session announced", zap.String("session", call.Session.Key()),
 		zap.String("address", call.Session.Address), zap.Bool("draining", call.Session.Draining),
 		zap.Uint64("revision", result.Revision), zap.Error(err))
@@ -69,7 +69,7 @@
 	if len(refuted) == 0 {
 		return nil
 	}
-	_, err = r.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, Names: refuted})
+	_, err = r.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, ReportsBegins: true, Names: refuted})
 	r.options.Log.Info("sessions ended that no worker confirms", zap.Strings("sessions", refuted),
 		zap.String("confirmed", s.Key()), zap.Error(err))
 	return err
@@ -142,7 +142,7 @@
 			continue
 		}
 		s.Draining = true
-		if _, err := r.propose(ctx, reducer.Command{Kind: reducer.KindAnnounceSession, Session: &s}); err != nil {
+		if _, err := r.propose(ctx, reducer.Command{Kind: reducer.KindAnnounceSession, ReportsBegins: true, Session: &s}); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/responder/workflows.go
+++ b/internal/responder/workflows.go
@@ -61,7 +61,7 @@
 	if !ok || len(w.Runs) == 0 {
 		return nil, modeler.Refuse(modeler.CodeNotFound, "workflow", "%q is not known", id)
 	}
-	return messenger.WorkflowStatus{ID: id, Phase: w.Phase, Table: r.coordinator.State().QueueTable.Version}, nil
+	return messenger.WorkflowStatus{ID: id, Phase: w.ReportedPhase(), Table: r.coordinator.State().QueueTable.Version}, nil
 }
 
 // cancelWorkflow commits the cancellation of a workflow. It commits the
@@ -118,7 +118,7 @@
 	q.byQueue, q.counted = map[string]int{}, time.Now()
 	for it := state.ActiveWorkflows.Iterator(); !it.Done(); {
 		id, _, _ := it.Next()
-		if w, _ := state.Workflows.Get(id); w.Phase == modeler.WorkflowWaiting {
+		if w, _ := state.Workflows.Get(id); w.ReportedPhase() == modeler.WorkflowWaiting {
 			q.byQueue[w.Spec.Queue]++
 		}
 	}
--- a/internal/supervisor/batch.go
+++ b/internal/supervisor/batch.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/reducer"
 )
 
@@ -11,9 +13,14 @@
 // whole.
 const maxEndsPerCommit = 500
 
+// beginInterval is the interval of commands that hold begins alone. Callers accept that a
+// begin shows 2 s late.
+const beginInterval = 250 * time.Millisecond
+
 // endBatcher commits the ends that many links report. While one command is being
 // committed, it gathers the ends for the next one, so that the number of commands
-// does not grow with the number of workers.
+// does not grow with the number of workers. Begins go along with the next ends, or are
+// committed at the next beginInterval.
 type endBatcher struct {
 	// propose commits a command. Never nil.
 	propose func(ctx context.Context, c reducer.Command) error
@@ -23,10 +30,12 @@
 	mutex sync.Mutex
 	// waiting are the reports for the next commands, oldest first.
 	waiting []endReport
+	// begins holds a begun attempt for each workflow that the state does not show as begun.
+	begins map[string]modeler.Attempt
 }
 
 func newEndBatcher(propose func(ctx context.Context, c reducer.Command) error) *endBatcher {
-	return &endBatcher{propose: propose, added: make(chan struct{}, 1)}
+	return &endBatcher{propose: propose, added: make(chan struct{}, 1), begins: map[string]modeler.Attempt{}}
 }
 
 // endReport holds the ends that one link reports.
@@ -55,16 +64,33 @@
 	}
 }
 
+// addBegin adds a begun attempt to one of the next commands. A begin whose commit fails is
+// added again when the worker lists the attempt next.
+func (b *endBatcher) addBegin(a modeler.Attempt) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.begins[a.Task.Workflow] = a
+}
+
 // run commits reports until the context ends, and passes the result of each commit to
 // its links. It always returns nil.
 func (b *endBatcher) run(ctx context.Context) error {
-	for {
+	ticker := time.NewTicker(beginInterval)
+	defer ticker.Stop()
+	for beginsDue := false; ; {
 		batch := b.next()
-		if len(batch) == 0 {
+		var begins []modeler.Attempt
+		if len(batch) > 0 || beginsDue {
+			begins = b.nextBegins()
+		}
+		beginsDue = false
+		if len(batch) == 0 && len(begins) == 0 {
 			select {
 			case <-ctx.Done():
 				return nil
 			case <-b.added:
+			case <-ticker.C:
+				beginsDue = true
 			}
 			continue
 		}
@@ -72,7 +98,7 @@
 		for _, r := range batch {
 			ends = append(ends, r.ends...)
 		}
-		err := b.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Ends: ends})
+		err := b.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Begins: begins, Ends: ends})
 		for _, r := range batch {
 			r.committed <- err
 		}
@@ -93,3 +119,18 @@
 	b.waiting = b.waiting[count:]
 	return batch
 }
+
+// nextBegins removes the begins for the next command, at most maxEndsPerCommit.
+func (b *endBatcher) nextBegins() []modeler.Attempt {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var begins []modeler.Attempt
+	for workflow, a := range b.begins {
+		if len(begins) == maxEndsPerCommit {
+			break
+		}
+		begins = append(begins, a)
+		delete(b.begins, workflow)
+	}
+	return begins
+}
--- a/internal/supervisor/batch_test.go
+++ b/internal/supervisor/batch_test.go
@@ -79,6 +79,55 @@
 	})
 }
 
+// TestBeginsAddFewCommands guards against a command for each start that a worker confirms.
+func TestBeginsAddFewCommands(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		endInterval time.Duration
+	}{
+		"begins alone":     {},
+		"begins with ends": {endInterval: 50 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				const begins, span = 1000, time.Second
+				commands, ends, seen := 0, 0, map[string]int{}
+				b := runBatcher(t, func(_ context.Context, c reducer.Command) error {
+					time.Sleep(10 * time.Millisecond)
+					commands++
+					ends += len(c.Ends)
+					for _, a := range c.Begins {
+						seen[a.Task.Workflow]++
+					}
+					return nil
+				})
+				began := time.Now()
+				for i := range begins {
+					b.addBegin(modeler.Attempt{Task: modeler.TaskName{Workflow: fmt.Sprint(i)}, Number: 1})
+					isDue := tt.endInterval > 0 && time.Since(began)%tt.endInterval == 0
+					if isDue && b.commit(t.Context(), endOf("ended")) != nil {
+						t.Fatal("the end was not committed")
+					}
+					time.Sleep(span / begins)
+				}
+				time.Sleep(2 * beginInterval)
+				synctest.Wait()
+				limit := ends + int(time.Since(began)/beginInterval)
+				if commands > limit || len(seen) != begins {
+					t.Errorf("%d commands hold %d begins, want %d in at most %d", commands, len(seen), begins, limit)
+				}
+				for workflow, count := range seen {
+					if count != 1 {
+						t.Errorf("the begin of %s was committed %d times, want once", workflow, count)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestFailedCommitIsReportedToEachLink(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/supervisor/lapse.go
+++ b/internal/supervisor/lapse.go
@@ -44,7 +44,7 @@
 		a := modeler.Attempt{Task: name, Session: session.Key(), Number: task.Attempt}
 		if !l.mayRunLater(a) {
 			ends = append(ends, reducer.AttemptEnd{
-				Attempt: a, Outcome: reducer.AttemptLapsed, Checkpoint: l.checkpointOf(name, task.Attempt),
+				Attempt: a, Outcome: l.lapsedOutcome(a), Checkpoint: l.checkpointOf(name, task.Attempt),
 			})
 		}
 	}
@@ -53,7 +53,20 @@
 	if len(ends) == 0 {
 		return
 	}
-	_ = l.supervisor.ends.commit(ctx, ends)
+	if l.supervisor.ends.commit(ctx, ends) == nil {
+		l.logEnds(ends)
+	}
+}
+
+// lapsedOutcome returns the outcome of an attempt that is over, and whose end no worker
+// lists.
+func (l *link) lapsedOutcome(a modeler.Attempt) reducer.AttemptOutcome {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if o, ok := l.orders[a.Task]; ok && o.number == a.Number && o.hasBegun {
+		return reducer.AttemptLapsed
+	}
+	return reducer.AttemptUnconfirmed
 }
 
 // haveLeasesExpired reports whether every lease on the worker has surely expired.
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -200,7 +200,9 @@
 // endSession commits the end of the session, whose attempts neither run nor can start.
 func (l *link) endSession(ctx context.Context, cause error) {
 	l.log().Info("session ended", zap.String("session", l.session.Key()), zap.Error(cause))
-	err := l.supervisor.propose(ctx, reducer.Command{Kind: reducer.KindEndSessions, Names: []string{l.session.Key()}})
+	err := l.supervisor.propose(ctx, reducer.Command{
+		Kind: reducer.KindEndSessions, Names: []string{l.session.Key()}, ReportsBegins: true,
+	})
 	if err != nil {
 		waitToRetry(ctx)
 	}
@@ -255,6 +257,7 @@
 		l.setPhase(o.Attempt, orderUnconfirmed)
 	case result == ResultStarted:
 		l.setPhase(o.Attempt, orderStarted)
+		l.recordBegin(o.Attempt)
 	default:
 		l.commitNotRun(ctx, o.Attempt, string(result))
 	}
@@ -276,6 +279,24 @@
 	}
 }
 
+// recordBegin records that the worker has confirmed the start or has listed the attempt.
+func (l *link) recordBegin(a modeler.Attempt) {
+	l.mutex.Lock()
+	if o, ok := l.orders[a.Task]; ok && o.number == a.Number {
+		o.hasBegun = true
+	}
+	l.mutex.Unlock()
+	w, _ := l.supervisor.options.State().Workflows.Get(a.Task.Workflow)
+	l.reportBegin(w, a)
+}
+
+// reportBegin has a begun attempt committed if the workflow is not known to have begun.
+func (l *link) reportBegin(w modeler.Workflow, a modeler.Attempt) {
+	if !w.Begun {
+		l.supervisor.ends.addBegin(a)
+	}
+}
+
 // commitNotRun commits that an attempt never began.
 func (l *link) commitNotRun(ctx context.Context, a modeler.Attempt, reason string) {
 	l.log().Info("attempt not run", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -53,6 +53,7 @@
 		a := modeler.Attempt{Task: name, Session: session.Key(), Number: task.Attempt}
 		if r, ok := obs.running[name]; ok && r.Number == a.Number {
 			l.recordRunning(a, r)
+			l.reportBegin(w, a)
 			continue
 		}
 		if obs.ended[name] >= a.Number {
@@ -129,7 +130,7 @@
 	if !ok || o.number != a.Number {
 		return
 	}
-	o.isListed = true
+	o.isListed, o.hasBegun = true, true
 	if o.phase == orderUnconfirmed || o.phase == orderInherited {
 		o.phase = orderStarted
 		o.since = l.now()
@@ -165,7 +166,7 @@
 	case orderFenced:
 		return reducer.AttemptRefused, obs.sent > since
 	case orderStarted:
-		return reducer.AttemptLapsed, obs.sent > since
+		return l.lapsedOutcome(a), obs.sent > since
 	case orderUnconfirmed:
 		l.requestStop(ctx, a)
 	case orderSending:
@@ -188,6 +189,7 @@
 	for _, e := range ends {
 		l.supervisor.options.OnEnded(e)
 	}
+	l.logEnds(ends)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.acknowledgeLocked(result)
@@ -195,6 +197,11 @@
 		if o, ok := l.orders[e.Attempt.Task]; ok && o.number <= e.Attempt.Number {
 			delete(l.orders, e.Attempt.Task)
 		}
+	}
+}
+
+func (l *link) logEnds(ends []reducer.AttemptEnd) {
+	for _, e := range ends {
 		l.log().Info("attempt ended", zap.Stringer("task", e.Attempt.Task), zap.Int("attempt", e.Attempt.Number),
 			zap.String("session", e.Attempt.Session), zap.String("outcome", string(e.Outcome)))
 	}
--- a/internal/supervisor/order.go
+++ b/internal/supervisor/order.go
@@ -33,6 +33,8 @@
 	sentAt time.Duration
 	// hasTicket is true if the start carries a permit.
 	hasTicket bool
+	// hasBegun is true once the worker has confirmed the start or has listed the attempt.
+	hasBegun bool
 	// isListed is true once the session's life has listed the attempt as running.
 	isListed   bool
 	checkpoint string
--- a/internal/supervisor/replacement.go
+++ b/internal/supervisor/replacement.go
@@ -44,6 +44,7 @@
 		if r, ok := obs.running[name]; ok && r.Number == a.Number {
 			l.log().Warn("attempt runs on a later life of its worker", zap.Stringer("task", a.Task),
 				zap.Int("attempt", a.Number), zap.String("session", a.Session))
+			l.recordBegin(a)
 			l.requestStop(ctx, a)
 			isSettled = false
 			continue
