fix: an entry remembers the queue table of every answer, not only of reads

What callers saw: nothing that is known. By reading, a caller could find a route again that the same entry had just refused, or see it as before a job was accepted, for up to a second.

Cause: an entry asks for reads by no older queue table than it has answered by, so that a follower that is behind leaves them to the leader. It learned tables only from reads that succeeded: answers to submissions and cancellations named no table, and refusals had no place for one. Besides, answers named the table of another state than the one they were routed by.

Why it works: a request is routed by one state, and its answer or refusal names that state's table. Callers get the same bodies as before; between programs of two releases a missing table counts as none, as it did.

--- a/internal/messenger/workflows.go
+++ b/internal/messenger/workflows.go
@@ -49,6 +49,12 @@
 	MinTable uint64 `json:"minTable,omitempty"`
 }
 
+// WorkflowReceipt answers the submission or the cancellation of a workflow.
+type WorkflowReceipt struct {
+	// Table is the version of the queue table by which the call was answered.
+	Table uint64 `json:"table,omitempty"`
+}
+
 // WorkflowStatus describes a workflow to a caller.
 type WorkflowStatus struct {
 	ID    string                `json:"id"`
--- a/internal/modeler/modeler.go
+++ b/internal/modeler/modeler.go
@@ -95,6 +95,8 @@
 	Field string `json:"field,omitempty"`
 	// Reason is a short explanation in lower case.
 	Reason string `json:"reason"`
+	// QueueTable is the version of the queue table that the refusal follows from, or zero.
+	QueueTable uint64 `json:"queueTable,omitempty"`
 }
 
 // Error implements error.
--- a/internal/responder/reads.go
+++ b/internal/responder/reads.go
@@ -51,14 +51,14 @@
 func (r *Responder) readWorkflow(ctx context.Context, call messenger.WorkflowCall) (any, bool) {
 	for deadline := time.Now().Add(readWait); ; {
 		state := r.coordinator.State()
-		_, id, refusal := r.route(call.Target)
-		if refusal != nil || state.QueueTable.Version < call.MinTable {
+		routed, refusal := routeBy(state.QueueTable, call.Target)
+		if refusal != nil || routed.table < call.MinTable {
 			return nil, false
 		}
-		w, known := state.Workflows.Get(id)
+		w, known := state.Workflows.Get(routed.id)
 		known = known && len(w.Runs) > 0
 		if w.IsEnded() || !time.Now().Before(deadline) {
-			return messenger.WorkflowStatus{ID: id, Phase: w.Phase, Table: state.QueueTable.Version}, known
+			return messenger.WorkflowStatus{ID: routed.id, Phase: w.Phase, Table: routed.table}, known
 		}
 		select {
 		case <-ctx.Done():
@@ -71,9 +71,9 @@
 // readQueue returns the number of waiting workflows of a queue that this follower knows.
 func (r *Responder) readQueue(_ context.Context, call messenger.WorkflowCall) (any, bool) {
 	state := r.coordinator.State()
-	queue, _, refusal := r.route(call.Target)
-	if refusal != nil || state.QueueTable.Version < call.MinTable {
+	routed, refusal := routeBy(state.QueueTable, call.Target)
+	if refusal != nil || routed.table < call.MinTable {
 		return nil, false
 	}
-	return messenger.QueueStatus{Waiting: r.queueCounts.waiting(state, queue.Name), Table: state.QueueTable.Version}, true
+	return messenger.QueueStatus{Waiting: r.queueCounts.waiting(state, routed.queue.Name), Table: routed.table}, true
 }
--- a/internal/responder/reads_test.go
+++ b/internal/responder/reads_test.go
@@ -143,3 +143,46 @@
 		}
 	})
 }
+
+// TestAnswersOnWorkflowsNameTheirQueueTable guards against an entry that can't know by which
+// queue table the leader has answered it.
+func TestAnswersOnWorkflowsNameTheirQueueTable(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		known := c.submitForReading()
+		unrouted, unknown := known, known
+		unrouted.Target.Host, unknown.Target.Path = "other", "/q/aa"
+		submission := messenger.SubmitWorkflowCall{Target: known.Target, Spec: modeler.WorkflowSpec{
+			Steps: []modeler.StepSpec{{Count: 1, Need: modeler.Resources{Processors: 1}}},
+		}}
+		unroutedSubmission := submission
+		unroutedSubmission.Target = unrouted.Target
+		tests := map[string]struct {
+			method      string
+			call        any
+			wantRefusal bool
+		}{
+			"a submission": {messenger.MethodSubmitWorkflow, submission, false},
+			"a submission to a route that is missing": {messenger.MethodSubmitWorkflow, unroutedSubmission, true},
+			"a read":                                {messenger.MethodGetWorkflow, known, false},
+			"a read of a route that is missing":     {messenger.MethodGetWorkflow, unrouted, true},
+			"a read of an unknown workflow":         {messenger.MethodGetWorkflow, unknown, true},
+			"a queue that is missing":               {messenger.MethodGetQueue, unrouted, true},
+			"a cancellation":                        {messenger.MethodCancelWorkflow, known, false},
+			"a cancellation of an unknown workflow": {messenger.MethodCancelWorkflow, unknown, true},
+		}
+		for name, tt := range tests {
+			var answer struct {
+				Table uint64 `json:"table"`
+			}
+			err := c.callMember(c.leader(), "entry", tt.method, tt.call, &answer)
+			var refusal *modeler.RefusalError
+			table := answer.Table
+			if errors.As(err, &refusal) {
+				table = refusal.QueueTable
+			}
+			if (refusal != nil) != tt.wantRefusal || table != readTableVersion {
+				t.Errorf("%s: answered by queue table %d (%v), want %d, refused: %t", name, table, err, readTableVersion, tt.wantRefusal)
+			}
+		}
+	})
+}
--- a/internal/responder/workflows.go
+++ b/internal/responder/workflows.go
@@ -14,85 +14,108 @@
 	"github.com/samphirewick/samphirewick/internal/reducer"
 )
 
-// route returns the queue that the host and path belong to, and the workflow id,
-// which is the path after the queue's prefix.
-func (r *Responder) route(target messenger.RequestTarget) (modeler.Queue, string, *modeler.RefusalError) {
-	table := r.coordinator.State().QueueTable
+// routing is the queue and the workflow that a request belongs to by one queue table.
+type routing struct {
+	queue modeler.Queue
+	// id is the path after the queue's prefix.
+	id string
+	// table is the version of the queue table.
+	table uint64
+}
+
+func (r *Responder) route(target messenger.RequestTarget) (routing, *modeler.RefusalError) {
+	return routeBy(r.coordinator.State().QueueTable, target)
+}
+
+func routeBy(table modeler.QueueTable, target messenger.RequestTarget) (routing, *modeler.RefusalError) {
 	if table.Version == 0 {
-		return modeler.Queue{}, "", modeler.Refuse(modeler.CodeUnavailable, "table", "no queues are configured yet")
+		return routing{}, modeler.Refuse(modeler.CodeUnavailable, "table", "no queues are configured yet")
 	}
+	found := routing{table: table.Version}
 	queue, ok := table.Route(target.Host, target.Path)
 	if !ok {
-		return queue, "", modeler.Refuse(modeler.CodeNotFound, "queue", "%s%s belongs to no queue", target.Host, target.Path)
+		return found, found.notFound("queue", "%s%s belongs to no queue", target.Host, target.Path)
 	}
-	return queue, strings.TrimPrefix(target.Path, queue.Prefix), nil
+	found.queue, found.id = queue, strings.TrimPrefix(target.Path, queue.Prefix)
+	return found, nil
+}
+
+// notFound returns a refusal that follows from the queue table.
+func (r routing) notFound(field, format string, args ...any) *modeler.RefusalError {
+	refusal := modeler.Refuse(modeler.CodeNotFound, field, format, args...)
+	refusal.QueueTable = r.table
+	return refusal
+}
+
+func (r routing) receipt() messenger.WorkflowReceipt {
+	return messenger.WorkflowReceipt{Table: r.table}
 }
 
 func (r *Responder) submitWorkflow(
 	ctx context.Context, _ *controller.LeaderState, call messenger.SubmitWorkflowCall,
 ) (any, error) {
-	queue, id, refusal := r.route(call.Target)
+	routed, refusal := r.route(call.Target)
 	if refusal != nil {
 		return nil, refusal
 	}
-	spec := call.Spec
-	spec.ID, spec.Queue = id, queue.Name
+	spec, id := call.Spec, routed.id
+	spec.ID, spec.Queue = id, routed.queue.Name
 	if refusal := spec.Validate(); refusal != nil {
 		return nil, refusal
 	}
 	if known, ok := r.coordinator.State().Workflows.Get(id); ok && len(known.Runs) > 0 {
-		return struct{}{}, nil
+		return routed.receipt(), nil
 	}
 	result, err := r.submissions.commit(ctx, id, func() (reducer.Result, error) {
 		return r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
 	})
-	r.options.Log.Info("workflow submitted", zap.String("workflow", id), zap.String("queue", queue.Name),
+	r.options.Log.Info("workflow submitted", zap.String("workflow", id), zap.String("queue", routed.queue.Name),
 		zap.Uint64("revision", result.Revision), zap.Error(err))
-	return struct{}{}, err
+	return routed.receipt(), err
 }
 
 func (r *Responder) getWorkflow(ctx context.Context, leader *controller.LeaderState, call messenger.WorkflowCall) (any, error) {
-	_, id, refusal := r.route(call.Target)
+	routed, refusal := r.route(call.Target)
 	if refusal != nil {
 		return nil, refusal
 	}
-	leader.AwaitEnds(ctx, id)
-	w, ok := r.coordinator.State().Workflows.Get(id)
+	leader.AwaitEnds(ctx, routed.id)
+	w, ok := r.coordinator.State().Workflows.Get(routed.id)
 	if !ok || len(w.Runs) == 0 {
-		return nil, modeler.Refuse(modeler.CodeNotFound, "workflow", "%q is not known", id)
+		return nil, routed.notFound("workflow", "%q is not known", routed.id)
 	}
-	return messenger.WorkflowStatus{ID: id, Phase: w.Phase, Table: r.coordinator.State().QueueTable.Version}, nil
+	return messenger.WorkflowStatus{ID: routed.id, Phase: w.Phase, Table: routed.table}, nil
 }
 
 // cancelWorkflow commits the cancellation of a workflow. It commits the
 // cancellation of an unknown workflow too, because the submission may arrive later.
 func (r *Responder) cancelWorkflow(ctx context.Context, _ *controller.LeaderState, call messenger.WorkflowCall) (any, error) {
-	queue, id, refusal := r.route(call.Target)
+	routed, refusal := r.route(call.Target)
 	if refusal != nil {
 		return nil, refusal
 	}
 	result, err := r.propose(ctx, reducer.Command{
 		Kind:     reducer.KindCancelWorkflow,
-		Workflow: &modeler.WorkflowSpec{ID: id, Queue: queue.Name},
+		Workflow: &modeler.WorkflowSpec{ID: routed.id, Queue: routed.queue.Name},
 	})
-	r.options.Log.Info("workflow cancelled", zap.String("workflow", id), zap.String("queue", queue.Name),
+	r.options.Log.Info("workflow cancelled", zap.String("workflow", routed.id), zap.String("queue", routed.queue.Name),
 		zap.Bool("known", result.Accepted > 0), zap.Uint64("revision", result.Revision), zap.Error(err))
 	if err != nil {
 		return nil, err
 	}
 	if result.Accepted == 0 {
-		return nil, modeler.Refuse(modeler.CodeNotFound, "workflow", "%q is not known", id)
+		return nil, routed.notFound("workflow", "%q is not known", routed.id)
 	}
-	return struct{}{}, nil
+	return routed.receipt(), nil
 }
 
 func (r *Responder) getQueue(_ context.Context, _ *controller.LeaderState, call messenger.WorkflowCall) (any, error) {
-	queue, _, refusal := r.route(call.Target)
+	state := r.coordinator.State()
+	routed, refusal := routeBy(state.QueueTable, call.Target)
 	if refusal != nil {
 		return nil, refusal
 	}
-	state := r.coordinator.State()
-	return messenger.QueueStatus{Waiting: r.queueCounts.waiting(state, queue.Name), Table: state.QueueTable.Version}, nil
+	return messenger.QueueStatus{Waiting: r.queueCounts.waiting(state, routed.queue.Name), Table: routed.table}, nil
 }
 
 // queueCountMaxAge is the maximum age of the numbers of waiting workflows. Callers
