fix: a machine that loses its disk twice leaves a cell without a leader

Callers saw no leader after the final loss of power, for good: nothing is served, however long the machines are back.

Cause: the replacement of a voter without its disk became a voter before the lost one was removed. Of {a, b, lost, new} a majority is three, so for that time the cell needed the machine that had just lost its disk. If all lose power then, and that machine its disk again, two voters of four are left.

A voter that is known to have lost its disk is now removed first, once its replacement has caught up. Of an odd number of voters a majority stays as large without it, so that no member is needed that was not needed before. A silent voter is still removed last, as it may come back with its disk.

The case "a voter that lost its disk is replaced without delay" stated the former order. It states the new one now, with two cases beside it.

The client of the simulated cell repeated one change, of which all but the first were refused, so that "no acknowledged change is lost" held for one entry.

--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -179,11 +179,18 @@
 	return wantedVoters > 0 && c.voters > wantedVoters && c.lostVoter >= 0
 }
 
+// isDisklessVoterReplaceable reports whether there is a voter that has lost its disk, and
+// a learner that can take its place.
+func (c membershipSummary) isDisklessVoterReplaceable(healths []memberHealth, wantedVoters int) bool {
+	return c.voters == wantedVoters && c.readyLearner >= 0 && c.lostVoter >= 0 && healths[c.lostVoter].superseded
+}
+
 // repairMembership returns a membership that differs by one member and comes
 // closer to the wanted number of voters that answer, and the reason for the
-// change. An empty reason means that no change is needed. A lost voter is removed
-// only after its replacement has become a voter, so that the loss of another
-// member right after the removal loses no entries.
+// change. An empty reason means that no change is needed. A voter that does not answer
+// is removed only after its replacement has become a voter, as it may still come back. One
+// without its disk cannot, and is removed before: of an odd number of voters a
+// majority stays as large without it, while one more voter would make it larger.
 func repairMembership(healths []memberHealth, wantedVoters int) ([]replicator.Member, string) {
 	members := make([]replicator.Member, len(healths))
 	for i, s := range healths {
@@ -196,7 +203,7 @@
 		// It stops, and may come back with its disk.
 		members[summary.lostVoter].Voter = false
 		return members, "voter stops"
-	case isReplaced:
+	case isReplaced, summary.isDisklessVoterReplaceable(healths, wantedVoters):
 		return slices.Delete(members, summary.lostVoter, summary.lostVoter+1), "voter lost"
 	case summary.readyLearner >= 0 && summary.needsVoter(wantedVoters):
 		members[summary.readyLearner].Voter = true
--- a/internal/coordinator/membership_test.go
+++ b/internal/coordinator/membership_test.go
@@ -60,9 +60,17 @@
 		"a voter that does not answer for a short time stays": {
 			before: []memberHealth{voter("a"), voter("b"), voter("c").withoutContact(time.Second), learner("d")}, wantedVoters: 3,
 		},
-		"a voter that lost its disk is replaced without delay": {
+		"a voter that lost its disk is removed without delay before its replacement becomes a voter": {
 			before: []memberHealth{voter("a"), voter("b"), voter("c").withLostDisk(), learner("c2")}, wantedVoters: 3,
-			voters: []string{"a", "b", "c", "c2"}, members: []string{"a", "b", "c", "c2"},
+			voters: []string{"a", "b"}, members: []string{"a", "b", "c2"},
+		},
+		"a voter that lost its disk stays while its replacement has not caught up": {
+			before:       []memberHealth{voter("a"), voter("b"), voter("c").withLostDisk(), learner("c2").withoutContact(0)},
+			wantedVoters: 3,
+		},
+		"a learner becomes a voter after one that lost its disk was removed": {
+			before: []memberHealth{voter("a"), voter("b"), learner("c2")}, wantedVoters: 3,
+			voters: []string{"a", "b", "c2"}, members: []string{"a", "b", "c2"},
 		},
 		"a voter that lost its disk is removed before one that does not answer": {
 			before: []memberHealth{
--- a/internal/coordinator/site_test.go
+++ b/internal/coordinator/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -40,6 +41,8 @@
 	isCut atomic.Bool
 	// thawAt is the time of the site until which the member is frozen.
 	thawAt atomic.Int64
+	// syncTime is how long a sync of the disk takes, in nanoseconds.
+	syncTime atomic.Int64
 	// isGone is set once the machine was removed for good.
 	isGone bool
 }
@@ -68,14 +71,26 @@
 
 	mutex    sync.Mutex
 	machines []*machine
-	// acknowledged holds the IDs of the changes that a leader has acknowledged.
+	// written counts the changes that were sent.
+	written atomic.Int64
+	// answered counts the changes that a client got an answer to.
+	answered atomic.Int64
+	// acknowledged holds the IDs of the changes that a leader has committed.
 	acknowledged []string
-	writer       sync.WaitGroup
-	stopWriter   context.CancelFunc
+	writers      sync.WaitGroup
+	// clients is done once the clients have to stop.
+	clients     context.Context
+	stopWriters context.CancelFunc
+	// starting counts the members that are about to run.
+	starting sync.WaitGroup
+	// planned is what later has planned last.
+	planned *time.Timer
+	// passes reports whether a message gets through; nil if all do.
+	passes func(from, to *machine, m replicator.Message) bool
 }
 
 // newSite starts the machines of a site, the first three of which found the cell, and a
-// client that writes all the time.
+// client.
 func newSite(t *testing.T, seed uint64, tolerated, machines int) *site {
 	t.Helper()
 	const founders = 3
@@ -87,16 +102,18 @@
 	for range machines {
 		s.addMachine()
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	s.stopWriter = cancel
-	s.writer.Go(func() { s.write(ctx) })
+	s.clients, s.stopWriters = context.WithCancel(t.Context())
+	s.addClient()
 	return s
 }
 
+// addClient starts a client that writes all the time.
+func (s *site) addClient() { s.writers.Go(func() { s.write(s.clients) }) }
+
 // close ends everything that runs on the site.
 func (s *site) close() {
-	s.stopWriter()
-	s.writer.Wait()
+	s.stopWriters()
+	s.writers.Wait()
 	for _, m := range s.machines {
 		s.kill(m)
 	}
@@ -138,21 +155,23 @@
 
 // start runs the member of the machine.
 func (s *site) start(m *machine) {
-	disk := m.disk.Open()
+	s.starting.Add(1)
+	defer s.starting.Done()
+	p := &process{machine: m}
+	disk := p.openDisk()
 	identity := s.identity(m, disk)
 	journal, restored, err := journaler.Open(disk, identity.InitialMembers())
 	if err != nil {
 		s.t.Errorf("journal of %s: %v", identity.Member, err)
 		return
 	}
-	p := &process{machine: m}
 	p.Coordinator, err = coordinator.New(coordinator.Options{
 		Identity: identity, Journal: journal, Restored: restored,
 		Core: replicator.Config{
 			ID: identity.Member, ElectionTimeout: 500 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond,
 			LeaseDuration: 400 * time.Millisecond, MaxBatch: 512, Seed: s.random.Uint64(),
 		},
-		SnapshotEvery: 300, KeepEntries: 100, FreeBytes: disk.FreeBytes, Voters: 2*s.tolerated + 1,
+		SnapshotEvery: 60, KeepEntries: 20, FreeBytes: disk.FreeBytes, Voters: 2*s.tolerated + 1,
 		SaveIdentity: func(i journaler.Identity) error { return journaler.WriteIdentity(disk, i) },
 		Send:         func(to replicator.Member, cell string, ms []replicator.Message) { s.send(p, to, cell, ms) },
 		Clock: func() time.Duration {
@@ -176,7 +195,7 @@
 	}
 	for _, run := range []func(context.Context) error{p.Run, joiner.Run} {
 		p.ended.Go(func() {
-			if err := run(ctx); err != nil {
+			if err := run(ctx); err != nil && !errors.Is(err, faker.ErrStopped) {
 				s.t.Errorf("member %s: %v", identity.Member, err)
 			}
 		})
@@ -186,6 +205,38 @@
 	s.mutex.Unlock()
 }
 
+// openDisk returns the disk of the machine as the process sees it: a sync takes the time
+// that the machine's disk takes, and does not happen if the process ends meanwhile.
+func (p *process) openDisk() journaler.Disk {
+	const poll = 5 * time.Millisecond
+	disk := p.machine.disk.Open()
+	await := func() error {
+		started := time.Now()
+		for !p.isDead.Load() {
+			left := time.Duration(p.machine.syncTime.Load()) - time.Since(started)
+			if left <= 0 {
+				return nil
+			}
+			time.Sleep(min(left, poll))
+		}
+		return faker.ErrStopped
+	}
+	sync, replace := disk.Sync, disk.Replace
+	disk.Sync = func(name string) error {
+		if err := await(); err != nil {
+			return err
+		}
+		return sync(name)
+	}
+	disk.Replace = func(name string, data []byte) error {
+		if err := await(); err != nil {
+			return err
+		}
+		return replace(name, data)
+	}
+	return disk
+}
+
 func hasID(id string) func(replicator.Member) bool {
 	return func(m replicator.Member) bool { return m.ID == id }
 }
@@ -254,12 +305,23 @@
 		for _, p := range s.processes() {
 			isRecipient := p.machine.address == to.Address || (to.Address == "" && p.Identity().Member == to.ID)
 			if isRecipient && !p.machine.isCut.Load() {
-				p.Deliver(cell, messages)
+				p.Deliver(cell, s.passing(from.machine, p.machine, messages))
 			}
 		}
 	})
 }
 
+// passing returns the messages that get through from one machine to another.
+func (s *site) passing(from, to *machine, messages []replicator.Message) []replicator.Message {
+	s.mutex.Lock()
+	passes := s.passes
+	s.mutex.Unlock()
+	if passes == nil {
+		return messages
+	}
+	return slices.DeleteFunc(slices.Clone(messages), func(m replicator.Message) bool { return !passes(from, to, m) })
+}
+
 // leader returns the process that holds the leadership lease, or nil.
 func (s *site) leader() *process {
 	for _, p := range s.processes() {
@@ -285,17 +347,19 @@
 	})
 }
 
-// write sends changes to the leader, one after the other, until ctx is done.
+// write sends changes to the leader, one after the other, until ctx is done. As control
+// does, the leader answers once its leadership is confirmed.
 func (s *site) write(ctx context.Context) {
-	const interval, timeout = 50 * time.Millisecond, 500 * time.Millisecond
-	pool := []modeler.Document{{Schema: 2, Kind: modeler.DocumentPool, Name: "pool", Spec: json.RawMessage(`{}`)}}
-	for number := 0; ctx.Err() == nil; number++ {
+	const interval, timeout, confirmTimeout = 50 * time.Millisecond, 2 * time.Second, time.Second
+	for ctx.Err() == nil {
 		time.Sleep(interval)
 		leader := s.leader()
 		if leader == nil {
 			continue
 		}
-		id := fmt.Sprintf("change%d", number)
+		id := fmt.Sprintf("change%d", s.written.Add(1))
+		pool := []modeler.Document{{Schema: 2, Kind: modeler.DocumentPool, Name: id, Spec: json.RawMessage(`{}`)}}
+		term := leader.Leadership().Term
 		writeCtx, cancel := context.WithTimeout(ctx, timeout)
 		_, err := leader.Propose(writeCtx, reducer.Command{Kind: reducer.KindApplyDocuments, ChangeID: id, Documents: pool})
 		cancel()
@@ -303,6 +367,9 @@
 			s.mutex.Lock()
 			s.acknowledged = append(s.acknowledged, id)
 			s.mutex.Unlock()
+			if leader.AwaitLeadership(ctx, term, confirmTimeout) {
+				s.answered.Add(1)
+			}
 		}
 	}
 }
