--- a/internal/responder/reads_test.go
+++ b/internal/responder/reads_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reducer"
 	"github.com/samphirewick/samphirewick/internal/runner"
 )
 
@@ -69,6 +70,57 @@
 	})
 }
 
+// TestEveryMemberShowsWorkflowsThatHaveNotBegunAsWaiting guards against members that leave
+// out of the number of waiting workflows those whose starts are unconfirmed.
+func TestEveryMemberShowsWorkflowsThatHaveNotBegunAsWaiting(t *testing.T) {
+	runInCell(t, func(ctx context.Context, c *cell, _ *runner.Group) {
+		call := c.submitForReading()
+		attempt := modeler.Attempt{Task: modeler.TaskName{Workflow: "5c0e7a21d94b36f8"}, Session: "w0@1"}
+		first := attempt
+		first.Number = 1
+		steps := []struct {
+			command     reducer.Command
+			wantPhase   modeler.WorkflowPhase
+			wantWaiting int
+		}{
+			{
+				command: reducer.Command{Kind: reducer.KindAnnounceSession, Session: &modeler.Session{
+					Worker: "w0", StartedAtMillis: 1, Address: "w0:1", Service: "planner", Capacity: modeler.Resources{Processors: 1},
+				}},
+				wantPhase: modeler.WorkflowWaiting, wantWaiting: 1,
+			},
+			{
+				command:   reducer.Command{Kind: reducer.KindStartAttempts, Attempts: []modeler.Attempt{attempt}},
+				wantPhase: modeler.WorkflowWaiting, wantWaiting: 1,
+			},
+			{
+				command:   reducer.Command{Kind: reducer.KindEndAttempts, Begins: []modeler.Attempt{first}},
+				wantPhase: modeler.WorkflowRunning,
+			},
+		}
+		for _, s := range steps {
+			if result, err := c.leader().running().coordinator.Propose(ctx, s.command); err != nil || result.Refusal != nil {
+				t.Errorf("%s was not applied: %v", s.command.Kind, err)
+				return
+			}
+			time.Sleep(time.Second)
+			for _, m := range c.members {
+				var workflow messenger.WorkflowStatus
+				var queue messenger.QueueStatus
+				err := c.callMember(m, "entry", messenger.MethodGetWorkflow, call, &workflow)
+				if err != nil || workflow.Phase != s.wantPhase {
+					t.Errorf("%s after %s: workflow is shown as %s (%v), want %s", m.id, s.command.Kind, workflow.Phase, err, s.wantPhase)
+				}
+				queueCall := messenger.WorkflowCall{Target: messenger.RequestTarget{Host: "h", Path: "/q/"}}
+				err = c.callMember(m, "entry", messenger.MethodGetQueue, queueCall, &queue)
+				if err != nil || queue.Waiting != s.wantWaiting {
+					t.Errorf("%s after %s: %d workflows wait (%v), want %d", m.id, s.command.Kind, queue.Waiting, err, s.wantWaiting)
+				}
+			}
+		}
+	})
+}
+
 func TestFollowerLeavesReadsToTheLeader(t *testing.T) {
 	tests := map[string]struct {
 		change func(*messenger.WorkflowCall)
@@ -143,3 +195,46 @@
 		}
 	})
 }
+
+// TestAnswersOnWorkflowsNameTheirQueueTable guards against an entry that can't know by which
+// queue table the leader has answered it.
+func TestAnswersOnWorkflowsNameTheirQueueTable(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		known := c.submitForReading()
+		unrouted, unknown := known, known
+		unrouted.Target.Host, unknown.Target.Path = "other", "/q/aa"
+		submission := messenger.SubmitWorkflowCall{Target: known.Target, Spec: modeler.WorkflowSpec{
+			Steps: []modeler.StepSpec{{Count: 1, Need: modeler.Resources{Processors: 1}}},
+		}}
+		unroutedSubmission := submission
+		unroutedSubmission.Target = unrouted.Target
+		tests := map[string]struct {
+			method      string
+			call        any
+			wantRefusal bool
+		}{
+			"a submission": {messenger.MethodSubmitWorkflow, submission, false},
+			"a submission to a route that is missing": {messenger.MethodSubmitWorkflow, unroutedSubmission, true},
+			"a read":                                {messenger.MethodGetWorkflow, known, false},
+			"a read of a route that is missing":     {messenger.MethodGetWorkflow, unrouted, true},
+			"a read of an unknown workflow":         {messenger.MethodGetWorkflow, unknown, true},
+			"a queue that is missing":               {messenger.MethodGetQueue, unrouted, true},
+			"a cancellation":                        {messenger.MethodCancelWorkflow, known, false},
+			"a cancellation of an unknown workflow": {messenger.MethodCancelWorkflow, unknown, true},
+		}
+		for name, tt := range tests {
+			var answer struct {
+				Table uint64 `json:"table"`
+			}
+			err := c.callMember(c.leader(), "entry", tt.method, tt.call, &answer)
+			var refusal *modeler.RefusalError
+			table := answer.Table
+			if errors.As(err, &refusal) {
+				table = refusal.QueueTable
+			}
+			if (refusal != nil) != tt.wantRefusal || table != readTableVersion {
+				t.Errorf("%s: answered by queue table %d (%v), want %d, refused: %t", name, table, err, readTableVersion, tt.wantRefusal)
+			}
+		}
+	})
+}
