fix: a follower takes no time of its former life for one of this life

What callers saw: nothing on a site. By reading, a follower whose machine had restarted could answer reads by an old state, by the word of a leader that was deposed, or frozen, and didn't know.

Cause: a leader repeats the time of an earlier reply of the follower. That time is of the clock since the machine's start, and was ignored only while the new clock had not reached it. A clock reaches it again.

Why it works: each start draws a number (Config.Life), replies carry it and leaders repeat it; a follower takes only times with its own.

--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -226,6 +227,7 @@
 		LeaseDuration:     election.Timeout * leaderLeasePercent / percent,
 		MaxBatch:          maxEntriesPerMessage,
 		Seed:              seed.Sum64(),
+		Life:              rand.Uint64(),
 	}
 }
 
--- a/internal/replicator/cell_test.go
+++ b/internal/replicator/cell_test.go
@@ -29,6 +29,10 @@
 	initialMembers []replicator.Member
 	// clockRate is the rate of the instance's clock relative to the simulated time.
 	clockRate float64
+	// clockOffset is what the clock shows beyond the simulated time at its rate.
+	clockOffset time.Duration
+	// starts counts the starts of the instance.
+	starts uint64
 	// pausedUntil is the simulated time until which the process is suspended.
 	pausedUntil time.Duration
 	applied     uint64
@@ -111,7 +115,18 @@
 }
 
 func (c *cell) clock(n *instance) time.Duration {
-	return time.Duration(float64(c.now) * n.clockRate)
+	return time.Duration(float64(c.now)*n.clockRate) + n.clockOffset
+}
+
+// simulatedTime returns the simulated time at which the clock of the instance shows the time.
+func (n *instance) simulatedTime(clock time.Duration) time.Duration {
+	return time.Duration(float64(clock-n.clockOffset) / n.clockRate)
+}
+
+// reboot crashes the instance and restarts it with a clock that shows the time.
+func (c *cell) reboot(n *instance, clock time.Duration) {
+	n.clockOffset += clock - c.clock(n)
+	c.crashAndRestart(n)
 }
 
 func (c *cell) openInstance(n *instance) {
@@ -122,6 +137,7 @@
 	}
 	n.journal = journal
 	n.applied = restored.Snapshot.Index
+	n.starts++
 	n.core = replicator.New(replicator.Config{
 		ID:                n.id,
 		ElectionTimeout:   electionTimeout,
@@ -129,6 +145,7 @@
 		LeaseDuration:     electionTimeout * 8 / 10,
 		MaxBatch:          c.maxBatch,
 		Seed:              c.random.Uint64(),
+		Life:              n.starts,
 	}, restored, c.clock(n))
 }
 
--- a/internal/replicator/reads_test.go
+++ b/internal/replicator/reads_test.go
@@ -46,7 +46,7 @@
 			r.check(n, r.cell.now)
 		case asOf > 0 && clock-asOf <= readAge:
 			r.byFollowers++
-			r.check(n, time.Duration(float64(asOf)/n.clockRate))
+			r.check(n, n.simulatedTime(asOf))
 		}
 	}
 }
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -25,8 +25,8 @@
 	ackedSentAt time.Duration
 	// answeredAt is when an answer of the member last arrived; zero if none has.
 	answeredAt time.Duration
-	// replySentAt is the ReplySentAt of the last reply that arrived while this leader held its lease.
-	replySentAt time.Duration
+	// reply is the time of the last reply that arrived while this leader held its lease.
+	reply replyTime
 	// trackedSince is when this leader began to track the member.
 	trackedSince time.Duration
 	// snapshotSentAt is when a snapshot was sent whose reply is outstanding; zero if there is none.
@@ -147,6 +147,7 @@
 	if lastSent > previousIndex {
 		entries = slices.Clone(c.entries[previousIndex-c.compactedIndex : lastSent-c.compactedIndex])
 	}
+	reply := c.replyCoveredByCommit(p)
 	c.sendBeforeSync(Message{
 		Kind:    MessageAppend,
 		To:      id,
@@ -156,7 +157,8 @@
 		Commit:  c.commitIndex,
 		SentAt:  c.now,
 
-		ReplySentAt: c.replySentAtCoveredByCommit(p),
+		ReplySentAt: reply.sentAt,
+		ReplyLife:   reply.life,
 		Patience:    c.patience,
 	})
 	c.countEntries(p, previousIndex, lastSent)
@@ -178,16 +180,6 @@
 	c.sendBeforeSync(Message{Kind: MessageSnapshot, To: id, Snapshot: &snapshot, SentAt: c.now, Patience: c.patience})
 }
 
-// replySentAtCoveredByCommit returns the time of the member's clock up to which nothing was
-// committed beyond the commit index; zero if none is known. While this leader holds its lease
-// no other leads, but what earlier leaders committed is known only after a commit in this term.
-func (c *Core) replySentAtCoveredByCommit(p *progress) time.Duration {
-	if c.termAt(c.commitIndex) != c.hardState.Term {
-		return 0
-	}
-	return p.replySentAt
-}
-
 func (c *Core) handleAppend(m Message) {
 	if c.role != RoleFollower {
 		c.becomeFollower(m.Term, m.From)
@@ -200,7 +192,9 @@
 
 // mergeAppend takes over what the log does not hold of an append, and returns the reply.
 func (c *Core) mergeAppend(m Message) Message {
-	reply := Message{Kind: MessageAppendReply, To: m.From, SentAt: m.SentAt, ReplySentAt: c.now}
+	reply := Message{
+		Kind: MessageAppendReply, To: m.From, SentAt: m.SentAt, ReplySentAt: c.now, ReplyLife: c.config.Life,
+	}
 	if m.Index < c.commitIndex {
 		reply.Index = c.commitIndex
 		return reply
@@ -217,14 +211,6 @@
 	return reply
 }
 
-// recordCurrent records as of when this member surely knows all that was committed. It
-// ignores a time that its clock has not reached, which is from before the machine restarted.
-func (c *Core) recordCurrent(m Message) {
-	if c.commitIndex >= m.Commit && m.ReplySentAt <= c.now {
-		c.currentAsOf = max(c.currentAsOf, m.ReplySentAt)
-	}
-}
-
 func (c *Core) recordLeaderContact(m Message) {
 	c.leader, c.lastLeader = m.From, m.From
 	c.lastLeaderContact = c.now
@@ -289,9 +275,7 @@
 	}
 	p.ackedSentAt = max(p.ackedSentAt, m.SentAt)
 	p.answeredAt = c.now
-	if m.ReplySentAt > 0 && c.LeaseUntil() > c.now {
-		p.replySentAt = m.ReplySentAt
-	}
+	c.recordReplyTime(m, p)
 	if m.Kind == MessageSnapshotReply || m.SentAt >= p.snapshotSentAt+c.config.ElectionTimeout {
 		// The snapshot has arrived, or is lost, since messages arrive in order.
 		p.snapshotSentAt = 0
@@ -377,11 +361,6 @@
 	return r
 }
 
-// CurrentAsOf returns a time of this member's clock such that, once it has applied what Ready
-// has returned, it has applied all that any member knew to be committed by that time. It
-// returns zero if no such time is known. It never goes back.
-func (c *Core) CurrentAsOf() time.Duration { return c.currentAsOf }
-
 // Advance reports that the work of the last Ready is on disk. A leader that is
 // no longer a voter steps down once the membership without it is committed.
 func (c *Core) Advance() {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -92,6 +92,8 @@
 	// In an append it is that of an earlier reply of the receiver, and states that nothing
 	// was committed beyond Commit by then; zero if the leader can't state that of any.
 	ReplySentAt time.Duration `json:"replySentAt,omitempty"`
+	// ReplyLife is the Life of the follower whose clock ReplySentAt is of.
+	ReplyLife uint64 `json:"replyLife,omitempty"`
 	// Patience is by how much longer than usual the receiver of an append or a snapshot
 	// waits for the leader before it starts an election, or votes in one.
 	Patience time.Duration `json:"patience,omitempty"`
@@ -147,6 +149,9 @@
 	MaxBatch int
 	// Seed initializes the random choice of election timeouts.
 	Seed uint64
+	// Life differs between the starts of a member, whose clock may show the same times
+	// again after a start.
+	Life uint64
 }
 
 // RestoredState is the state that a member reads from its disk at startup.
