fix: followers of a late leader go on answering reads

Followers of a leader whose loop is late by 0.4 s or more left all reads to it, which makes it later.

Cause: a leader repeats a follower's time only if it holds its lease, and compared the lease with when it handled the reply, not with when it arrived.

Why it works: the coordinator notes when messages arrive. The reply was made before it arrived, and no other member leads before the lease ends, so what the leader states is true as before. The readers of the simulated cells still find no read that goes back, with arrival times that are earlier than the handling after pauses.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -185,6 +185,8 @@
 type messageBatch struct {
 	cell     string
 	messages []replicator.Message
+	// arrivedAt is when they had arrived.
+	arrivedAt time.Duration
 }
 
 type membershipProposal struct {
@@ -351,6 +353,7 @@
 	now := c.Now()
 	for _, m := range batch.messages {
 		if m.To == identity.Member {
+			m.ArrivedAt = batch.arrivedAt
 			c.core.Step(now, m)
 		}
 	}
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -56,7 +56,7 @@
 // It never blocks; if the event queue is full, it drops the messages.
 func (c *Coordinator) Deliver(cell string, messages []replicator.Message) {
 	select {
-	case c.events <- event{messages: &messageBatch{cell, messages}}:
+	case c.events <- event{messages: &messageBatch{cell, messages, c.Now()}}:
 	default:
 		c.options.Log.Warn("event queue full; messages dropped", zap.Int("count", len(messages)))
 	}
--- a/internal/replicator/cell_test.go
+++ b/internal/replicator/cell_test.go
@@ -115,7 +115,12 @@
 }
 
 func (c *cell) clock(n *instance) time.Duration {
-	return time.Duration(float64(c.now)*n.clockRate) + n.clockOffset
+	return c.clockAt(n, c.now)
+}
+
+// clockAt returns what the clock of the instance shows at the simulated time.
+func (c *cell) clockAt(n *instance, at time.Duration) time.Duration {
+	return time.Duration(float64(at)*n.clockRate) + n.clockOffset
 }
 
 // simulatedTime returns the simulated time at which the clock of the instance shows the time.
--- a/internal/replicator/network_test.go
+++ b/internal/replicator/network_test.go
@@ -117,6 +117,7 @@
 			continue
 		}
 		read[n.id] += 1 + len(f.message.Entries)
+		f.message.ArrivedAt = c.clockAt(n, f.arrivesAt)
 		n.core.Step(c.clock(n), f.message)
 		c.handleReady(n)
 	}
--- a/internal/replicator/reads.go
+++ b/internal/replicator/reads.go
@@ -8,16 +8,21 @@
 	life   uint64
 }
 
-// recordReplyTime records when the member made the reply, if this leader holds its lease now.
+// recordReplyTime records when the member made the reply, if it arrived within this leader's
+// lease. A leader that is late may find that out after the lease.
 func (c *Core) recordReplyTime(m Message, p *progress) {
-	if m.ReplySentAt > 0 && c.LeaseUntil() > c.now {
+	arrivedAt := m.ArrivedAt
+	if arrivedAt == 0 {
+		arrivedAt = c.now
+	}
+	if m.ReplySentAt > 0 && c.LeaseUntil() > arrivedAt {
 		p.reply = replyTime{m.ReplySentAt, m.ReplyLife}
 	}
 }
 
 // replyCoveredByCommit returns the time of the member's clock up to which nothing was
-// committed beyond the commit index; zero if none is known. While this leader holds its lease
-// no other leads, but what earlier leaders committed is known only after a commit in this term.
+// committed beyond the commit index; zero if none is known. Within the lease of this
+// leader no other leads, but what earlier leaders committed is known only after a commit in this term.
 func (c *Core) replyCoveredByCommit(p *progress) replyTime {
 	if c.termAt(c.commitIndex) != c.hardState.Term {
 		return replyTime{}
--- a/internal/replicator/reads_test.go
+++ b/internal/replicator/reads_test.go
@@ -20,6 +20,8 @@
 // readers read at all members and compare the answers.
 type readers struct {
 	cell *cell
+	// maxAge is how old the state may be by which a follower answers.
+	maxAge time.Duration
 	// newest holds the reads that were answered by a higher index than all before them.
 	newest []answeredRead
 	// byFollowers counts the answers of followers.
@@ -28,7 +30,7 @@
 
 // startReaders makes the cell read at all members before and after each step.
 func startReaders(c *cell) *readers {
-	r := &readers{cell: c}
+	r := &readers{cell: c, maxAge: readAge}
 	c.onStep = r.read
 	return r
 }
@@ -44,7 +46,7 @@
 		switch {
 		case n.core.LeaseUntil() > clock && n.core.CommittedInTerm():
 			r.check(n, r.cell.now)
-		case asOf > 0 && clock-asOf <= readAge:
+		case asOf > 0 && clock-asOf <= r.maxAge:
 			r.byFollowers++
 			r.check(n, n.simulatedTime(asOf))
 		}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -25,7 +25,7 @@
 	ackedSentAt time.Duration
 	// answeredAt is when an answer of the member last arrived; zero if none has.
 	answeredAt time.Duration
-	// reply is the time of the last reply that arrived while this leader held its lease.
+	// reply is the time of the last reply that arrived within this leader's lease.
 	reply replyTime
 	// trackedSince is when this leader began to track the member.
 	trackedSince time.Duration
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -98,6 +98,9 @@
 	// waits for the leader before it starts an election, or votes in one.
 	Patience time.Duration `json:"patience,omitempty"`
 	Snapshot *Snapshot     `json:"snapshot,omitempty"`
+	// ArrivedAt is the time of the receiver's clock at which the message had arrived, which may
+	// be before Step gets it; zero if it is not known.
+	ArrivedAt time.Duration `json:"-"`
 	// Transferred is set in the vote requests of a leadership transfer: the
 	// leader has given up its lease for the candidate.
 	Transferred bool `json:"transferred,omitempty"`
