--- a/internal/coordinator/slowdisk_test.go
+++ b/internal/coordinator/slowdisk_test.go
@@ -39,7 +39,8 @@
 func playSlowDisk(t *testing.T, seed uint64, syncTime time.Duration, ofLeader bool) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		const settled, usualSyncTime, adapted, watched, clients = 5 * time.Second, 6 * time.Millisecond, 5 * time.Second, 10 * time.Second, 8
+		const settled, usualSyncTime, adapted = 5 * time.Second, 6 * time.Millisecond, 5 * time.Second
+		const watched, clients = 10 * time.Second, 8
 		s := newSite(t, seed, 1, 3)
 		defer s.close()
 		for range clients - 1 {
