test: a link of the simulated cell holds no lock while it delivers

Cause: a link delivered under its lock. Since a member notes when messages arrive, delivery reads its clock, which waits in the simulation while the member is frozen, and the sender waited for the lock. In a bubble that stops the time for good.

Why it works: one delivery at a time keeps the order without the lock; a frozen member holds up what comes after on that link, as a real one does. No check has changed.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -43,6 +43,9 @@
 type link struct {
 	mutex   sync.Mutex
 	waiting []func()
+	// due is how many of the waiting ones have arrived.
+	due          int
+	isDelivering bool
 }
 
 // send calls deliver after the latency, and after what was sent before.
@@ -50,12 +53,28 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.waiting = append(l.waiting, deliver)
-	time.AfterFunc(latency, func() {
-		l.mutex.Lock()
-		defer l.mutex.Unlock()
-		l.waiting[0]()
+	time.AfterFunc(latency, l.deliverDue)
+}
+
+// deliverDue delivers what has arrived. It holds no lock meanwhile, as a frozen receiver
+// blocks until it goes on.
+func (l *link) deliverDue() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.due++
+	if l.isDelivering {
+		return
+	}
+	l.isDelivering = true
+	for l.due > 0 {
+		deliver := l.waiting[0]
 		l.waiting = l.waiting[1:]
-	})
+		l.due--
+		l.mutex.Unlock()
+		deliver()
+		l.mutex.Lock()
+	}
+	l.isDelivering = false
 }
 
 // newTestCell runs one voter on each of the disks until the test ends.
