--- a/internal/modeler/queuetable.go
+++ b/internal/modeler/queuetable.go
@@ -27,6 +27,8 @@
 	// Permit configures the policy service that restricts which workers may run
 	// a step; nil if there is no restriction.
 	Permit *PermitPolicy `json:"permit,omitempty"`
+	// Public reports whether calls to the queue need no key of a department.
+	Public bool `json:"public,omitempty"`
 }
 
 // PermitPolicy describes the policy service that decides which workers may run a step.
@@ -55,6 +57,9 @@
 	Version uint64  `json:"version"`
 	Queues  []Queue `json:"queues"`
 	Pools   []Pool  `json:"pools"`
+	// Departments own the workflows of queues that are not public. Without any, no call
+	// needs a key.
+	Departments []Department `json:"departments,omitempty"`
 	// Raw is the table as it was submitted.
 	Raw json.RawMessage `json:"raw,omitempty"`
 }
@@ -84,6 +89,16 @@
 	return best, found
 }
 
+// Department returns the department with the name, and whether it exists.
+func (t QueueTable) Department(name string) (Department, bool) {
+	for _, d := range t.Departments {
+		if d.Name == name {
+			return d, true
+		}
+	}
+	return Department{}, false
+}
+
 // Validate returns a refusal that names the first invalid field, or nil.
 func (t QueueTable) Validate() *RefusalError {
 	if t.Version == 0 {
--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -31,6 +31,8 @@
 type WorkflowSpec struct {
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
+	// Department is the department that submitted the workflow; empty if it needed no key.
+	Department string `json:"department,omitempty"`
 	// Payload is passed to the workers unchanged.
 	Payload string     `json:"payload,omitempty"`
 	Steps   []StepSpec `json:"steps"`
@@ -260,6 +262,9 @@
 	Runs []StepRun `json:"runs"`
 	// Begun is true once a worker has confirmed or listed one of the workflow's attempts.
 	Begun bool `json:"begun,omitempty"`
+	// BeyondRate is true if the department had submitted more workflows than its rate
+	// allows when it submitted this one.
+	BeyondRate bool `json:"beyondRate,omitempty"`
 	// Ended is the time at which the workflow reached a final phase; zero before.
 	Ended time.Time `json:"ended,omitzero"`
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -58,6 +58,8 @@
 	QueueTable modeler.QueueTable
 	// Queues holds the queues of the current and all earlier tables, by name.
 	Queues *Map[modeler.Queue]
+	// Departments holds the departments of the current and all earlier tables, by name.
+	Departments *Map[modeler.Department]
 
 	// ActiveWorkflows holds the IDs of workflows that have not ended or whose
 	// tasks still hold resources; derived from Workflows.
@@ -67,6 +69,9 @@
 	// Usage holds the resources that the tasks of each department use; derived
 	// from Jobs.
 	Usage *Map[modeler.Resources]
+	// DepartmentUsage holds the resources that the tasks of each department's workflows
+	// hold, with the processors of fill tasks; derived from Workflows.
+	DepartmentUsage *Map[modeler.Resources]
 	// Pools, Policies and Grants are decoded from Documents, by document name.
 	Pools    *Map[modeler.PoolSpec]
 	Policies *Map[modeler.PolicySpec]
@@ -86,14 +91,18 @@
 		Workflows:            newMap[modeler.Workflow](),
 		Sessions:             newMap[modeler.Session](),
 		Queues:               newMap[modeler.Queue](),
+		Departments:          newMap[modeler.Department](),
 
 		ActiveWorkflows: newMap[struct{}](),
 
 		WaitingJobs: newMap[struct{}](),
 		Usage:       newMap[modeler.Resources](),
-		Pools:       newMap[modeler.PoolSpec](),
-		Policies:    newMap[modeler.PolicySpec](),
-		Grants:      newMap[modeler.GrantSpec](),
+
+		DepartmentUsage: newMap[modeler.Resources](),
+
+		Pools:    newMap[modeler.PoolSpec](),
+		Policies: newMap[modeler.PolicySpec](),
+		Grants:   newMap[modeler.GrantSpec](),
 	}
 }
 
