feat: departments of the configuration, and the key of a call

Cause: the operators' configuration names departments with keys, weights and caps, which control drops; a caller's key goes no further than the entry. DepartmentOfKey uses an index that is built once per table.

--- a/internal/messenger/workflows.go
+++ b/internal/messenger/workflows.go
@@ -30,10 +30,13 @@
 // MethodRequestPermits is the method by which the leader has an entry request permits from the policy service.
 const MethodRequestPermits = "advise"
 
-// RequestTarget is the host and path of a caller's request. It determines the queue.
+// RequestTarget is the host, the path and the key of a caller's request. It determines
+// the queue and the department.
 type RequestTarget struct {
 	Host string `json:"host"`
 	Path string `json:"path"`
+	// Key is the key of the caller's department, or empty. It may not appear in logs.
+	Key string `json:"key,omitempty"`
 }
 
 // SubmitWorkflowCall submits a workflow. Its id is the path after the queue's prefix.
--- a/internal/modeler/queuetable.go
+++ b/internal/modeler/queuetable.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 )
@@ -62,6 +63,8 @@
 	Departments []Department `json:"departments,omitempty"`
 	// Raw is the table as it was submitted.
 	Raw json.RawMessage `json:"raw,omitempty"`
+	// departmentsByKey indexes Departments by key; nil if the table has no index.
+	departmentsByKey map[string]Department
 }
 
 // Queue returns the queue with the name, and whether it exists.
@@ -99,11 +102,48 @@
 	return Department{}, false
 }
 
+// WithKeyIndex returns a copy of t whose DepartmentOfKey takes the same time for any
+// number of keys. A table without departments has no index, so that the zero table stays
+// zero.
+func (t QueueTable) WithKeyIndex() QueueTable {
+	if len(t.Departments) == 0 {
+		return t
+	}
+	t.departmentsByKey = make(map[string]Department, len(t.Departments))
+	for _, d := range t.Departments {
+		for _, key := range d.Keys {
+			t.departmentsByKey[key] = d
+		}
+	}
+	return t
+}
+
+// DepartmentOfKey returns the department with the key, and whether there is one. No
+// department has the empty key.
+func (t QueueTable) DepartmentOfKey(key string) (Department, bool) {
+	if key == "" {
+		return Department{}, false
+	}
+	if t.departmentsByKey != nil {
+		d, ok := t.departmentsByKey[key]
+		return d, ok
+	}
+	for _, d := range t.Departments {
+		if slices.Contains(d.Keys, key) {
+			return d, true
+		}
+	}
+	return Department{}, false
+}
+
 // Validate returns a refusal that names the first invalid field, or nil.
 func (t QueueTable) Validate() *RefusalError {
 	if t.Version == 0 {
 		return Refuse(CodeInvalid, "version", "missing")
 	}
+	if refusal := t.validateDepartments(); refusal != nil {
+		return refusal
+	}
 	pools := map[string]bool{}
 	for _, p := range t.Pools {
 		if p.Name == "" || pools[p.Name] {
@@ -128,6 +168,31 @@
 	return nil
 }
 
+// validateDepartments names departments only, because keys may not appear in errors.
+func (t QueueTable) validateDepartments() *RefusalError {
+	names, owners := map[string]bool{}, map[string]string{}
+	for _, d := range t.Departments {
+		if d.Name == "" || names[d.Name] {
+			return Refuse(CodeInvalid, "departments", "the name %q is missing or there twice", d.Name)
+		}
+		names[d.Name] = true
+		if refusal := d.validate(); refusal != nil {
+			return refusal
+		}
+		for _, key := range d.Keys {
+			owner, ok := owners[key]
+			if ok && owner != d.Name {
+				return Refuse(CodeInvalid, "departments", "%q and %q have a key in common", owner, d.Name)
+			}
+			if ok {
+				return Refuse(CodeInvalid, "departments."+d.Name+".keys", "a key is there twice")
+			}
+			owners[key] = d.Name
+		}
+	}
+	return nil
+}
+
 func (q Queue) validate(pools map[string]bool) *RefusalError {
 	switch {
 	case q.Name == "":
--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -265,6 +265,9 @@
 	// BeyondRate is true if the department had submitted more workflows than its rate
 	// allows when it submitted this one.
 	BeyondRate bool `json:"beyondRate,omitempty"`
+	// AlsoCancelledBy holds further departments that cancelled the ID before its submission
+	// arrived; the first one is in Spec.
+	AlsoCancelledBy []string `json:"alsoCancelledBy,omitempty"`
 	// Ended is the time at which the workflow reached a final phase; zero before.
 	Ended time.Time `json:"ended,omitzero"`
 }
@@ -288,7 +291,7 @@
 // still ask for. It has one run without tasks, as a workflow without any run was never
 // submitted.
 func (w Workflow) WithoutTasks() Workflow {
-	w.Spec = WorkflowSpec{ID: w.Spec.ID, Queue: w.Spec.Queue}
+	w.Spec = WorkflowSpec{ID: w.Spec.ID, Queue: w.Spec.Queue, Department: w.Spec.Department}
 	w.Runs = []StepRun{{}}
 	return w
 }
