feat: ledger and rates of departments in the replicated state

Cause: neither a cap nor a rate of a department can hold across leaders unless every member enforces it. A token bucket for each department marks workflows beyond its rate; it is kept as a time, because sums of floats differ between processors. A department neither cancels another's workflow nor takes its ID, and its early cancellation counts only for itself.

--- a/internal/reducer/queuetable.go
+++ b/internal/reducer/queuetable.go
@@ -22,11 +22,14 @@
 	return nil
 }
 
-// setQueueTable replaces the queue table. Queues of earlier tables are kept, because
-// workflows that were submitted to them still refer to them.
+// setQueueTable replaces the queue table. Queues and departments of earlier tables are
+// kept, because workflows that were submitted to them or by them still refer to them.
 func (t *transition) setQueueTable(table modeler.QueueTable) {
-	t.QueueTable = table
+	t.QueueTable = table.WithKeyIndex()
 	for _, q := range table.Queues {
 		t.Queues = t.Queues.Set(q.Name, q)
 	}
+	for _, d := range table.Departments {
+		t.Departments = t.Departments.Set(d.Name, d.WithoutKeys())
+	}
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -59,7 +59,10 @@
 	// Queues holds the queues of the current and all earlier tables, by name.
 	Queues *Map[modeler.Queue]
 	// Departments holds the departments of the current and all earlier tables, by name.
+	// They have no keys: only those of the current table are valid.
 	Departments *Map[modeler.Department]
+	// Rates holds the token buckets of the departments' submissions, by department.
+	Rates *Map[modeler.RateBucket]
 
 	// ActiveWorkflows holds the IDs of workflows that have not ended or whose
 	// tasks still hold resources; derived from Workflows.
@@ -92,6 +95,7 @@
 		Sessions:             newMap[modeler.Session](),
 		Queues:               newMap[modeler.Queue](),
 		Departments:          newMap[modeler.Department](),
+		Rates:                newMap[modeler.RateBucket](),
 
 		ActiveWorkflows: newMap[struct{}](),
 
@@ -155,6 +159,9 @@
 	Sessions  []modeler.Session       `json:"sessions,omitempty"`
 	Queues    []modeler.Queue         `json:"queues,omitempty"`
 	Table     modeler.QueueTable      `json:"table,omitzero"`
+
+	Departments []modeler.Department `json:"departments,omitempty"`
+	Rates       []modeler.RateBucket `json:"rates,omitempty"`
 }
 
 // Encode returns the state in the form in which a snapshot stores it.
@@ -172,6 +179,9 @@
 		Sessions:  Values(s.Sessions),
 		Queues:    Values(s.Queues),
 		Table:     s.QueueTable,
+
+		Departments: Values(s.Departments),
+		Rates:       Values(s.Rates),
 	}
 	for it := s.Audit.Iterator(); !it.Done(); {
 		_, record := it.Next()
@@ -211,8 +221,15 @@
 		}
 	}
 	t.Audit = immutable.NewList(stored.Audit...)
+	t.restoreWorkflows(stored)
+	return t.State, nil
+}
+
+// restoreWorkflows restores workflows, and what they refer to.
+func (t *transition) restoreWorkflows(stored snapshot) {
 	for _, w := range stored.Workflows {
 		t.setWorkflow(w)
+		t.countDepartmentUsage(w)
 	}
 	for _, session := range stored.Sessions {
 		t.setSession(session)
@@ -220,8 +237,13 @@
 	for _, q := range stored.Queues {
 		t.Queues = t.Queues.Set(q.Name, q)
 	}
-	t.QueueTable = stored.Table
-	return t.State, nil
+	for _, d := range stored.Departments {
+		t.Departments = t.Departments.Set(d.Name, d)
+	}
+	for _, b := range stored.Rates {
+		t.Rates = t.Rates.Set(b.Department, b)
+	}
+	t.QueueTable = stored.Table.WithKeyIndex()
 }
 
 // countUsage adds the resources that the job's tasks hold to its department's usage.
--- a/internal/reducer/workflows.go
+++ b/internal/reducer/workflows.go
@@ -47,30 +47,36 @@
 	if refusal := spec.Validate(); refusal != nil {
 		return refusal
 	}
-	if known, ok := t.Workflows.Get(spec.ID); ok {
-		t.resubmitWorkflow(known, spec)
+	known, ok := t.Workflows.Get(spec.ID)
+	if ok && len(known.Runs) > 0 {
+		return t.resubmitWorkflow(known, spec)
+	}
+	if ok && t.isCancelledBy(spec.Department, known) {
+		t.setWorkflow(modeler.NewWorkflow(spec, t.at).WithPhase(modeler.WorkflowCancelled, t.at))
 		return nil
 	}
 	if _, ok := t.QueueTable.Queue(spec.Queue); !ok {
 		return modeler.Refuse(modeler.CodeNotFound, "queue", "%q is not configured", spec.Queue)
 	}
-	t.setWorkflow(modeler.NewWorkflow(spec, t.at))
+	w := modeler.NewWorkflow(spec, t.at)
+	w.BeyondRate = !t.takeRate(spec.Department)
+	t.setWorkflow(w)
 	t.result.Accepted = 1
 	return nil
 }
 
-// resubmitWorkflow handles a workflow whose ID already exists. If the workflow
-// was cancelled before its submission arrived, the spec is stored and the
-// workflow stays cancelled; otherwise the submission is accepted without effect.
-func (t *transition) resubmitWorkflow(known modeler.Workflow, spec modeler.WorkflowSpec) {
-	if len(known.Runs) > 0 {
-		return
+// resubmitWorkflow accepts the submission of an ID that was submitted before, without
+// effect, or refuses it if another department submitted it.
+func (t *transition) resubmitWorkflow(known modeler.Workflow, spec modeler.WorkflowSpec) *modeler.RefusalError {
+	if !t.MayControl(spec.Department, known) {
+		return modeler.Refuse(modeler.CodeConflict, "workflow", "%q is in use", spec.ID)
 	}
-	t.setWorkflow(modeler.NewWorkflow(spec, t.at).WithPhase(modeler.WorkflowCancelled, t.at))
+	return nil
 }
 
-// cancelWorkflow cancels a workflow. An unknown workflow is recorded as
-// cancelled, so that it does not run if its submission arrives later.
+// cancelWorkflow cancels a workflow. An unknown workflow is recorded as cancelled by the
+// department, so that it does not run if the department's submission arrives later.
+// Another department's workflow is left as it is.
 func (t *transition) cancelWorkflow() *modeler.RefusalError {
 	spec := *t.command.Workflow
 	if refusal := modeler.CheckName("id", spec.ID); refusal != nil {
@@ -82,6 +88,13 @@
 		return nil
 	}
 	if len(known.Runs) == 0 {
+		if !t.isCancelledBy(spec.Department, known) {
+			known.AlsoCancelledBy = append(slices.Clone(known.AlsoCancelledBy), spec.Department)
+			t.setWorkflow(known)
+		}
+		return nil
+	}
+	if !t.MayControl(spec.Department, known) {
 		return nil
 	}
 	t.result.Accepted = 1
@@ -180,6 +193,10 @@
 	if task.Phase != modeler.TaskWaiting || task.HoldsResources() || !t.canRun(spec, session, s.Task) {
 		return false
 	}
+	if !t.fitsInCap(spec.Department, step.Need) {
+		return false
+	}
+	t.addDepartmentUsage(spec.Department, step.Need)
 	task.Phase = modeler.TaskStarted
 	task.Session = s.Session
 	task.Attempt++
@@ -246,6 +263,7 @@
 		worker = session.Worker
 		t.setSession(session.WithoutTask(name, step.CapacityNeed()))
 	}
+	t.addDepartmentUsage(w.Spec.Department, step.Need.Times(-1))
 	position, _ := w.RunIndex(name)
 	run := w.Runs[position]
 	task.Session = ""
