feat: control checks the key of a caller's department

Cause: a call needs no key, and a workflow has no department. Submissions and cancellations carry the department. A public queue takes calls without a key, but no unknown one.

--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -128,6 +128,10 @@
 			return nil, err
 		}
 		if !r.coordinator.AwaitLeadership(ctx, leader.Term(), confirmTimeout) {
+			if refusal != nil && refusal.Code == modeler.CodeUnauthenticated {
+				// Nothing was run, and a later table may have the key.
+				return nil, modeler.Refuse(modeler.CodeUnavailable, "key", "whether the key is valid is not known")
+			}
 			return nil, modeler.Refuse(modeler.CodeUnknownOutcome, "", "the leadership lease ended meanwhile")
 		}
 		return answer, err
--- a/internal/responder/submissions.go
+++ b/internal/responder/submissions.go
@@ -12,9 +12,13 @@
 // send a submission again while its answer is late; only the first one is committed.
 type submissions struct {
 	mutex   sync.Mutex
-	pending map[string]*submission
+	pending map[submissionKey]*submission
 }
 
+// submissionKey identifies a submission. Departments that submit the same ID don't share
+// an outcome: only one of them gets the workflow.
+type submissionKey struct{ workflow, department string }
+
 // submission is one commit. Its result is set before done is closed.
 type submission struct {
 	done   chan struct{}
@@ -22,13 +26,13 @@
 	err    error
 }
 
-// commit runs propose for the workflow, or waits for the result of the same submission
+// commit runs propose, or waits for the result of the same submission
 // that runs already, until the context ends.
 func (s *submissions) commit(
-	ctx context.Context, id string, propose func() (reducer.Result, error),
+	ctx context.Context, key submissionKey, propose func() (reducer.Result, error),
 ) (reducer.Result, error) {
 	s.mutex.Lock()
-	running, ok := s.pending[id]
+	running, ok := s.pending[key]
 	if ok {
 		s.mutex.Unlock()
 		select {
@@ -39,14 +43,14 @@
 		}
 	}
 	if s.pending == nil {
-		s.pending = map[string]*submission{}
+		s.pending = map[submissionKey]*submission{}
 	}
 	started := &submission{done: make(chan struct{})}
-	s.pending[id] = started
+	s.pending[key] = started
 	s.mutex.Unlock()
 	started.result, started.err = propose()
 	s.mutex.Lock()
-	delete(s.pending, id)
+	delete(s.pending, key)
 	s.mutex.Unlock()
 	close(started.done)
 	return started.result, started.err
--- a/internal/responder/workflows.go
+++ b/internal/responder/workflows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -14,9 +15,12 @@
 	"github.com/samphirewick/samphirewick/internal/reducer"
 )
 
-// routing is the queue and the workflow that a request belongs to by one queue table.
+// routing is the queue, the department and the workflow that a request belongs to by one
+// queue table.
 type routing struct {
 	queue modeler.Queue
+	// department is empty if the queue needs no key.
+	department string
 	// id is the path after the queue's prefix.
 	id string
 	// table is the version of the queue table.
@@ -37,16 +41,34 @@
 		return found, found.notFound("queue", "%s%s belongs to no queue", target.Host, target.Path)
 	}
 	found.queue, found.id = queue, strings.TrimPrefix(target.Path, queue.Prefix)
-	return found, nil
+	if len(table.Departments) == 0 {
+		return found, nil
+	}
+	department, known := table.DepartmentOfKey(target.Key)
+	switch {
+	case !known && target.Key != "":
+		return found, found.refuse(modeler.CodeUnauthenticated, "key", "the key is not known")
+	case queue.Public:
+		return found, nil
+	case !known:
+		return found, found.refuse(modeler.CodeUnauthenticated, "key", "queue %q needs a key", queue.Name)
+	default:
+		found.department = department.Name
+		return found, nil
+	}
 }
 
-// notFound returns a refusal that follows from the queue table.
-func (r routing) notFound(field, format string, args ...any) *modeler.RefusalError {
-	refusal := modeler.Refuse(modeler.CodeNotFound, field, format, args...)
+// refuse returns a refusal that follows from the queue table.
+func (r routing) refuse(code modeler.RefusalCode, field, format string, args ...any) *modeler.RefusalError {
+	refusal := modeler.Refuse(code, field, format, args...)
 	refusal.QueueTable = r.table
 	return refusal
 }
 
+func (r routing) notFound(field, format string, args ...any) *modeler.RefusalError {
+	return r.refuse(modeler.CodeNotFound, field, format, args...)
+}
+
 func (r routing) receipt() messenger.WorkflowReceipt {
 	return messenger.WorkflowReceipt{Table: r.table}
 }
@@ -59,19 +81,31 @@
 		return nil, refusal
 	}
 	spec, id := call.Spec, routed.id
-	spec.ID, spec.Queue = id, routed.queue.Name
+	spec.ID, spec.Queue, spec.Department = id, routed.queue.Name, routed.department
 	if refusal := spec.Validate(); refusal != nil {
 		return nil, refusal
 	}
-	if known, ok := r.coordinator.State().Workflows.Get(id); ok && len(known.Runs) > 0 {
+	state := r.coordinator.State()
+	if known, ok := state.Workflows.Get(id); ok && len(known.Runs) > 0 && state.MayControl(routed.department, known) {
 		return routed.receipt(), nil
 	}
-	result, err := r.submissions.commit(ctx, id, func() (reducer.Result, error) {
+	key := submissionKey{workflow: id, department: routed.department}
+	result, err := r.submissions.commit(ctx, key, func() (reducer.Result, error) {
 		return r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
 	})
 	r.options.Log.Info("workflow submitted", zap.String("workflow", id), zap.String("queue", routed.queue.Name),
-		zap.Uint64("revision", result.Revision), zap.Error(err))
-	return routed.receipt(), err
+		zap.String("department", routed.department), zap.Uint64("revision", result.Revision), zap.Error(err))
+	return routed.receipt(), routed.withTable(err)
+}
+
+// withTable returns a conflict with the version of the queue table that it follows from,
+// and any other error unchanged.
+func (r routing) withTable(err error) error {
+	var refusal *modeler.RefusalError
+	if errors.As(err, &refusal) && refusal.Code == modeler.CodeConflict {
+		return r.refuse(refusal.Code, refusal.Field, "%s", refusal.Reason)
+	}
+	return err
 }
 
 func (r *Responder) getWorkflow(ctx context.Context, leader *controller.LeaderState, call messenger.WorkflowCall) (any, error) {
@@ -96,9 +130,10 @@
 	}
 	result, err := r.propose(ctx, reducer.Command{
 		Kind:     reducer.KindCancelWorkflow,
-		Workflow: &modeler.WorkflowSpec{ID: routed.id, Queue: routed.queue.Name},
+		Workflow: &modeler.WorkflowSpec{ID: routed.id, Queue: routed.queue.Name, Department: routed.department},
 	})
 	r.options.Log.Info("workflow cancelled", zap.String("workflow", routed.id), zap.String("queue", routed.queue.Name),
+		zap.String("department", routed.department),
 		zap.Bool("known", result.Accepted > 0), zap.Uint64("revision", result.Revision), zap.Error(err))
 	if err != nil {
 		return nil, err
