feat: departments for operators: list, metrics, audit of keys, log fields

Cause: an operator cannot see what a department holds of its cap, what it waits for, or whose keys a configuration changed.

--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -340,6 +340,7 @@
 // updateMetrics updates the gauges of the member once per second.
 func (m *member) updateMetrics(ctx context.Context) error {
 	scope := m.meter.Scope
+	departments := newDepartmentGauges(scope)
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
@@ -364,5 +365,6 @@
 		scope.Gauge("table_version").Update(float64(state.QueueTable.Version))
 		scope.Gauge("jobs_waiting").Update(float64(state.WaitingJobs.Len()))
 		scope.Gauge("requests_recorded").Update(float64(state.Requests.Len()))
+		departments.update(state)
 	}
 }
--- a/cmd/samphirewick/internal/commander/get.go
+++ b/cmd/samphirewick/internal/commander/get.go
@@ -18,7 +18,8 @@
 }
 
 func (o *getOptions) flags(clause *kingpin.CmdClause) {
-	clause.Arg("kind", "Kind of the documents: pool, policy or grant. All kinds if missing.").StringVar(&o.kind)
+	clause.Arg("kind", "Kind of the documents: pool, policy or grant. All kinds if missing. "+
+		"The get command also has departments.").StringVar(&o.kind)
 	clause.Arg("name", "Name of the document. All documents if missing.").StringVar(&o.name)
 	clause.Flag("schema", "Schema version of the output. Each document's own version if missing.").IntVar(&o.schema)
 }
@@ -37,12 +38,16 @@
 	return query
 }
 
-// newGetCmd returns the command that prints the configuration in force.
+// newGetCmd returns the command that prints the configuration in force, or the
+// departments of workflows.
 func newGetCmd(app *kingpin.Application) command {
 	options := &getOptions{}
-	clause := app.Command("get", "Print the configuration in force.")
+	clause := app.Command("get", "Print the configuration in force, or what the departments of workflows use.")
 	options.flags(clause)
 	return command{clause, func(ctx context.Context, s session) error {
+		if options.kind == kindDepartments {
+			return getDepartments(ctx, s, options.name)
+		}
 		var answer messenger.DocumentsAnswer
 		if err := s.client.Get(ctx, "/v1/configuration", options.query(), &answer); err != nil {
 			return err
--- a/internal/messenger/workflows.go
+++ b/internal/messenger/workflows.go
@@ -18,6 +18,7 @@
 	MethodLeaveSession    = "leaveSession"
 	MethodApplyQueueTable = "applyTable"
 	MethodGetQueueTable   = "getTable"
+	MethodGetDepartments  = "getDepartments"
 )
 
 // The methods for finding and joining the members. Every member handles
--- a/internal/receiver/control.go
+++ b/internal/receiver/control.go
@@ -249,6 +249,10 @@
 	return r.relay(c, http.StatusOK, messenger.MethodStatus, struct{}{})
 }
 
+func (r *receiver) departments(c echo.Context, _ authenticator.Caller) error {
+	return r.relay(c, http.StatusOK, messenger.MethodGetDepartments, struct{}{})
+}
+
 func (r *receiver) snapshot(c echo.Context, _ authenticator.Caller) error {
 	return r.relay(c, http.StatusOK, messenger.MethodSnapshot, struct{}{})
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -91,6 +91,7 @@
 		{http.MethodPost, "/v1/drains", operator, r.drain},
 		{http.MethodGet, "/v1/audit", operator, r.audit},
 		{http.MethodGet, "/v1/status", operator, r.status},
+		{http.MethodGet, "/v1/departments", operator, r.departments},
 		{http.MethodGet, "/v1/snapshot", operator, r.snapshot},
 		{http.MethodGet, "/v1/members", operator, r.members},
 		{http.MethodPost, "/v1/members", operator, r.addMember},
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -104,6 +104,7 @@
 		"an invalid service name":            {http.MethodGet, "/v1/services/a%20b", "", nil, 400, "service"},
 		"another department's job":           {http.MethodPost, "/v1/jobs", `{"department":"b"}`, asDepartment, 403, "department"},
 		"an operator's call by a department": {http.MethodGet, "/v1/status", "", asDepartment, 403, ""},
+		"departments, by a department":       {http.MethodGet, "/v1/departments", "", asDepartment, 403, ""},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/reducer/departments.go
+++ b/internal/reducer/departments.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/samphirewick/samphirewick/internal/modeler"
@@ -73,3 +75,39 @@
 	t.Rates = t.Rates.Set(department, bucket)
 	return ok
 }
+
+// keyChange counts the keys that a table adds to a department and removes from it.
+type keyChange struct{ added, removed int }
+
+// auditKeyChanges records whose keys the table adds or removes, without the keys.
+func (t *transition) auditKeyChanges(before, after modeler.QueueTable) {
+	changes := map[string]keyChange{}
+	formerOwners, owners := keyOwners(before), keyOwners(after)
+	for key, department := range owners {
+		if formerOwners[key] != department {
+			c := changes[department]
+			changes[department] = keyChange{c.added + 1, c.removed}
+		}
+	}
+	for key, department := range formerOwners {
+		if owners[key] != department {
+			c := changes[department]
+			changes[department] = keyChange{c.added, c.removed + 1}
+		}
+	}
+	for _, department := range slices.Sorted(maps.Keys(changes)) {
+		result := fmt.Sprintf("%d added, %d removed", changes[department].added, changes[department].removed)
+		t.appendAudit(t.newAuditRecord("changeKeys", "department:"+department, before.Version, after.Version, result))
+	}
+}
+
+// keyOwners returns the department of each key.
+func keyOwners(table modeler.QueueTable) map[string]string {
+	owners := map[string]string{}
+	for _, d := range table.Departments {
+		for _, key := range d.Keys {
+			owners[key] = d.Name
+		}
+	}
+	return owners
+}
--- a/internal/reducer/departments_test.go
+++ b/internal/reducer/departments_test.go
@@ -370,3 +370,26 @@
 		})
 	}
 }
+
+// TestAuditNamesDepartmentsWhoseKeysChange guards against a key that changes hands without
+// a record, and against keys in the audit trail.
+func TestAuditNamesDepartmentsWhoseKeysChange(t *testing.T) {
+	t.Parallel()
+	f := withDepartments(t)
+	green := modeler.Department{Name: "green", Keys: []string{"b1"}}
+	f.applyTable(3, modeler.Department{Name: "red", Keys: []string{"r1", "r2"}}, green)
+	f.applyTable(4, modeler.Department{Name: "red", Keys: []string{"r2", "r1"}}, green)
+	var got []string
+	for i := range f.state.Audit.Len() {
+		if r := f.state.Audit.Get(i); r.Action == "changeKeys" {
+			got = append(got, fmt.Sprintf("%d %s %s", r.ToVersion, r.Subject, r.Result))
+		}
+	}
+	want := []string{
+		"2 department:blue 1 added, 0 removed", "2 department:red 1 added, 0 removed", "3 department:blue 0 added, 1 removed",
+		"3 department:green 1 added, 0 removed", "3 department:red 1 added, 0 removed",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("audited %q, want %q", got, want)
+	}
+}
--- a/internal/reducer/queuetable.go
+++ b/internal/reducer/queuetable.go
@@ -14,10 +14,11 @@
 	if table.Version <= t.QueueTable.Version {
 		return nil
 	}
-	before := t.QueueTable.Version
+	before := t.QueueTable
 	t.setQueueTable(table)
 	t.markChanged(RecordQueueTable, "")
-	t.appendAudit(t.newAuditRecord("applyTable", "queueTable", before, table.Version, "applied"))
+	t.appendAudit(t.newAuditRecord("applyTable", "queueTable", before.Version, table.Version, "applied"))
+	t.auditKeyChanges(before, table)
 	t.result.Accepted = 1
 	return nil
 }
--- a/internal/responder/departments_test.go
+++ b/internal/responder/departments_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -220,3 +222,30 @@
 		}
 	})
 }
+
+// TestDepartmentsAreListedWithoutKeys guards against operators who cannot see what a
+// department holds and waits for, also once it was removed, or who see its keys.
+func TestDepartmentsAreListedWithoutKeys(t *testing.T) {
+	runInCell(t, func(_ context.Context, c *cell, _ *runner.Group) {
+		c.useKeys()
+		for _, path := range []string{"/q/b1", "/q/b2", "/q/b3"} {
+			c.mustCall(messenger.MethodSubmitWorkflow, submissionOf(path, "kRed"), nil)
+		}
+		table := keyedTable(readTableVersion+1, "kRed")
+		table.Departments = table.Departments[:1]
+		c.mustCall(messenger.MethodApplyQueueTable, messenger.ApplyQueueTableCall{Table: table}, nil)
+		var raw json.RawMessage
+		c.mustCall(messenger.MethodGetDepartments, struct{}{}, &raw)
+		var got []messenger.DepartmentStatus
+		if err := json.Unmarshal(raw, &got); err != nil || len(got) != 2 {
+			t.Fatalf("departments are %s (%v)", raw, err)
+		}
+		if strings.Contains(string(raw), "kRed") || !got[0].Removed || got[0].Name != "blue" {
+			t.Errorf("departments are %s", raw)
+		}
+		// One token of the rate was filled again meanwhile.
+		if red := got[1]; red.Waiting != 4 || red.BeyondRate != 1 || red.Cap.Processors != 4 || red.Removed {
+			t.Errorf("department red is %+v", red)
+		}
+	})
+}
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -81,6 +81,7 @@
 		messenger.MethodLeaveSession:    onLeader(r, (*Responder).leaveSession),
 		messenger.MethodApplyQueueTable: onLeader(r, (*Responder).applyQueueTable),
 		messenger.MethodGetQueueTable:   onLeader(r, (*Responder).getQueueTable),
+		messenger.MethodGetDepartments:  onLeader(r, (*Responder).getDepartments),
 		messenger.MethodLocate:          r.locate,
 		messenger.MethodJoin:            onLeader(r, (*Responder).join),
 	}
--- a/internal/responder/sessions.go
+++ b/internal/responder/sessions.go
@@ -160,6 +160,7 @@
 	}
 	result, err := r.propose(ctx, reducer.Command{Kind: reducer.KindApplyQueueTable, Table: &call.Table})
 	r.options.Log.Info("queue table applied", zap.Uint64("version", call.Table.Version),
+		zap.Int("departments", len(call.Table.Departments)),
 		zap.Uint64("revision", result.Revision), zap.Error(err))
 	return struct{}{}, err
 }
--- a/internal/responder/workflows.go
+++ b/internal/responder/workflows.go
@@ -93,8 +93,10 @@
 	result, err := r.submissions.commit(ctx, key, func() (reducer.Result, error) {
 		return r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
 	})
+	submitted, _ := r.coordinator.State().Workflows.Get(id)
 	r.options.Log.Info("workflow submitted", zap.String("workflow", id), zap.String("queue", routed.queue.Name),
-		zap.String("department", routed.department), zap.Uint64("revision", result.Revision), zap.Error(err))
+		zap.String("department", routed.department), zap.Bool("beyondRate", submitted.BeyondRate),
+		zap.Uint64("revision", result.Revision), zap.Error(err))
 	return routed.receipt(), routed.withTable(err)
 }
 
