--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -22,6 +22,9 @@
 	// roundInterval is the longest time between two rounds. It bounds how late the
 	// scheduler reacts to changes that no commit reports, such as the time.
 	roundInterval = 20 * time.Millisecond
+	// minRoundInterval is the shortest time between the beginnings of two rounds. Each
+	// round visits all workers, and commits that come one by one would cause one each.
+	minRoundInterval = 10 * time.Millisecond
 	// proposeTimeout bounds one commit of starts.
 	proposeTimeout = 2 * time.Second
 	// maxStarts is the number of starts at which a round ends. The tasks of one step
@@ -120,7 +123,12 @@
 			revision = s.reset()
 		}
 		s.moveAttempts(ctx)
-		if s.round(ctx) {
+		began := s.options.Now()
+		again := s.round(ctx)
+		if !s.pause(ctx, began) {
+			return nil
+		}
+		if again {
 			continue
 		}
 		select {
@@ -133,6 +141,17 @@
 	}
 }
 
+// pause waits until minRoundInterval after the round began. It returns false if the
+// context has ended.
+func (s *Scheduler) pause(ctx context.Context, began time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(began + minRoundInterval - s.options.Now()):
+		return true
+	}
+}
+
 func (s *Scheduler) reset() uint64 {
 	_, revision, _ := s.options.Feed.Since(0)
 	state := s.options.State()
