--- a/internal/profiler/profiler_test.go
+++ b/internal/profiler/profiler_test.go
@@ -155,3 +155,36 @@
 		})
 	}
 }
+
+// BenchmarkObserve observes a poll of a worker with ten tasks, one of which is new. Half
+// of the workloads that are distinguished are in use. It includes its share of the
+// updates of the estimates, each second of 700 polls.
+func BenchmarkObserve(b *testing.B) {
+	const sessions, tasks, images, pollsPerSecond = 350, 10, 16, 700
+	now := time.Duration(0)
+	p := New(func() time.Duration { return now })
+	running := make([][]Task, sessions)
+	number := 0
+	next := func(session int) Task {
+		number++
+		t := taskOf(fmt.Sprint("f", number), fmt.Sprint("i", number*7%images), modeler.StepSpec{})
+		t.Attempt.Session, t.Percent = fmt.Sprint("w", session), 1
+		return t
+	}
+	for i := range running {
+		for range tasks {
+			running[i] = append(running[i], next(i))
+		}
+	}
+	poll := 0
+	for b.Loop() {
+		session := poll % sessions
+		for i := range running[session] {
+			running[session][i].Percent += 8
+		}
+		running[session][poll/sessions%tasks] = next(session)
+		p.Observe(running[session][0].Attempt.Session, running[session])
+		now += time.Second / pollsPerSecond
+		poll++
+	}
+}
--- a/internal/profiler/replay_test.go
+++ b/internal/profiler/replay_test.go
@@ -30,6 +30,8 @@
 	// length is its run time alone on a worker of speed 1.
 	length time.Duration
 	done   float64
+	// late is done as of the tick before, which polls that are answered late report.
+	late float64
 }
 
 type simWorker struct {
@@ -128,6 +130,7 @@
 				speed /= slowdown
 			}
 		}
+		t.late = t.done
 		t.done += speed * replayTick.Seconds() / t.length.Seconds()
 	}
 	for _, t := range w.tasks {
@@ -138,10 +141,15 @@
 	w.tasks = running
 }
 
-func (w *simWorker) report() []Task {
+// report returns the answer to a poll. On unsteady workers half of the answers are late.
+func (r *replay) report(w *simWorker) []Task {
 	var tasks []Task
+	late := r.unsteady > 0 && r.random.IntN(2) == 0
 	for _, t := range w.tasks {
 		t.Percent = int(100 * t.done)
+		if late {
+			t.Percent = int(100 * t.late)
+		}
 		tasks = append(tasks, t.Task)
 	}
 	return tasks
@@ -159,7 +167,7 @@
 		for i, w := range r.workers {
 			r.advance(w)
 			if (tick+i)%ticksPerPoll == 0 {
-				r.profiler.Observe(w.key, w.report())
+				r.profiler.Observe(w.key, r.report(w))
 			}
 		}
 		time.Sleep(replayTick)
@@ -230,7 +238,7 @@
 }
 
 // TestNoPairIsFoundWithoutInterference guards against false finds: in at most one of 20
-// replays of 10 minutes, half of them on workers of unsteady speed, any of 64 pairs may
+// replays of 10 minutes, half of them on workers of unsteady speed and with late polls, any of 64 pairs may
 // ever be found.
 func TestNoPairIsFoundWithoutInterference(t *testing.T) {
 	t.Parallel()
