feat(samphirewick): check queue tables before they are sent

check knew configuration documents only, so that mistakes in a queue table showed when the cell refused it, one at a time, or never.

It reads a table in the product's form or, through platform, in the platform's, and prints errors and warnings with file, line and field, and what differs from the table in force without any key. It exits with 0, 1 or 2 and sends nothing.

--- a/cmd/samphirewick/internal/commander/commander.go
+++ b/cmd/samphirewick/internal/commander/commander.go
@@ -27,6 +27,10 @@
 	exitUnknown = 4
 	// exitProblems reports that status found problems or diff found differences.
 	exitProblems = 5
+	// exitWarnings and exitErrors report what check found in a queue table. They equal the
+	// codes of a failure and of invalid arguments, which print no findings.
+	exitWarnings = 1
+	exitErrors   = 2
 )
 
 // errProblemsFound is returned by a command that has printed problems or differences.
@@ -67,8 +71,10 @@
 			g.flags(app)
 			return g.bind(allCommands(app))
 		},
-		ExitCode:        exitCode,
-		AlreadyReported: func(err error) bool { return errors.Is(err, errProblemsFound) },
+		ExitCode: exitCode,
+		AlreadyReported: func(err error) bool {
+			return errors.Is(err, errProblemsFound) || errors.Is(err, errTableWarnings) || errors.Is(err, errTableErrors)
+		},
 	}
 	return program.Execute(arguments, out, errOut)
 }
@@ -147,6 +153,10 @@
 	switch {
 	case errors.Is(err, errProblemsFound):
 		return exitProblems
+	case errors.Is(err, errTableWarnings):
+		return exitWarnings
+	case errors.Is(err, errTableErrors):
+		return exitErrors
 	case errors.As(err, &refusal) && refusal.Code == modeler.CodeUnknownOutcome:
 		return exitUnknown
 	case errors.As(err, &refusal):
--- a/cmd/samphirewick/internal/commander/documents.go
+++ b/cmd/samphirewick/internal/commander/documents.go
@@ -19,6 +19,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return parseDocuments(path, data)
+}
+
+func parseDocuments(path string, data []byte) ([]modeler.Document, error) {
+	var err error
 	var documents []modeler.Document
 	if bytes.HasPrefix(bytes.TrimSpace(data), []byte("[")) {
 		err = json.Unmarshal(data, &documents)
--- a/cmd/samphirewick/internal/printer/printer.go
+++ b/cmd/samphirewick/internal/printer/printer.go
@@ -24,6 +24,9 @@
 // New returns a printer that writes to out. Any format but FormatJSON is a table.
 func New(out io.Writer, form string) Printer { return Printer{out, form} }
 
+// Format returns the output format.
+func (p Printer) Format() string { return p.format }
+
 // Print prints the value as indented JSON, or the rows as a table. The table has a
 // header line unless header is empty.
 func (p Printer) Print(value any, header []string, rows [][]string) error {
