--- a/cmd/samphirewick/internal/commander/get.go
+++ b/cmd/samphirewick/internal/commander/get.go
@@ -42,11 +42,15 @@
 // departments of workflows.
 func newGetCmd(app *kingpin.Application) command {
 	options := &getOptions{}
-	clause := app.Command("get", "Print the configuration in force, or what the departments of workflows use.")
+	clause := app.Command("get", "Print the configuration in force, what the departments of workflows use, or with the kind "+
+		"interference which tasks slow each other down.")
 	options.flags(clause)
 	return command{clause, func(ctx context.Context, s session) error {
-		if options.kind == kindDepartments {
+		switch options.kind {
+		case kindDepartments:
 			return getDepartments(ctx, s, options.name)
+		case kindInterference:
+			return getInterference(ctx, s)
 		}
 		var answer messenger.DocumentsAnswer
 		if err := s.client.Get(ctx, "/v1/configuration", options.query(), &answer); err != nil {
