feat: order and caps of departments in plans

Work within a department's rate comes before all beyond it; within a priority and deadline class, departments that hold less of what they are entitled to come first, in bands of doublings. A plan counts its own starts and the gangs that it gathers for against the caps. Without departments the order is as before.

--- a/internal/adviser/adviser_test.go
+++ b/internal/adviser/adviser_test.go
@@ -269,3 +269,29 @@
 		}
 	})
 }
+
+// TestSmallCallsLeaveEntriesToLongOnes guards against wide steps that cannot ask for permits
+// for as long as smaller ones do, and against urgent calls that wait for several others.
+func TestSmallCallsLeaveEntriesToLongOnes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		a, _ := newAdviser("e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9")
+		send := func(class CallClass) int {
+			sent := 0
+			for a.RequestPermits(t.Context(), testQueue, StepName{Workflow: fmt.Sprint(class, sent)}, sessionsOf("w"), class) {
+				sent++
+			}
+			return sent
+		}
+		if sent := send(CallMedium); sent != 10 {
+			t.Errorf("%d medium calls are in flight at 10 entries, want one at each", sent)
+		}
+		if sent := send(CallLong); sent != 6 {
+			t.Errorf("%d long calls are in flight beside the medium ones, want one at each of 6 entries", sent)
+		}
+		if sent := send(CallShort); sent == 0 {
+			t.Error("no short call is in flight beside the others")
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -52,6 +52,9 @@
 	due time.Time
 	// deadlineClass tells whether the deadline can still be met; the lowest is placed first.
 	deadlineClass deadlineClass
+	// beyondRate is 1 if the workflow was submitted beyond its department's rate, and
+	// shareBand is the band of the department's share. Both are 0 without departments.
+	beyondRate, shareBand int
 }
 
 // readySteps returns the steps of the workflow that have tasks to start. It
@@ -95,9 +98,11 @@
 const maxObjective = 30 * 365 * 24 * time.Hour
 
 // ordered returns the ready steps whose queue is in the state, in the order in
-// which to place them: by queue priority, deadline class, deadline and name.
+// which to place them: those within their department's rate first, then by queue priority,
+// deadline class, the department's share, deadline and name.
 func (b *backlog) ordered(state reducer.State, now time.Time) []*readyStep {
 	var steps []*readyStep
+	band := shareBands(state)
 	for _, waiting := range b.waiting {
 		for i := range waiting {
 			r := &waiting[i]
@@ -107,13 +112,22 @@
 			}
 			r.queue = queue
 			r.due, r.deadlineClass = r.classifyDeadline(now)
+			r.beyondRate, r.shareBand = 0, 0
+			if band != nil && r.workflow.Spec.Department != "" {
+				r.shareBand = band(r.workflow.Spec.Department)
+				if r.workflow.BeyondRate {
+					r.beyondRate = 1
+				}
+			}
 			steps = append(steps, r)
 		}
 	}
 	slices.SortFunc(steps, func(a, b *readyStep) int {
 		return cmp.Or(
+			cmp.Compare(a.beyondRate, b.beyondRate),
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
 			cmp.Compare(a.deadlineClass, b.deadlineClass),
+			cmp.Compare(a.shareBand, b.shareBand),
 			a.due.Compare(b.due),
 			cmp.Compare(a.name.Workflow, b.name.Workflow),
 			cmp.Compare(a.name.Step, b.name.Step),
--- a/internal/scheduler/gathering.go
+++ b/internal/scheduler/gathering.go
@@ -42,7 +42,8 @@
 	ordered := make([]*readyStep, 0, len(steps))
 	for begin := 0; begin < len(steps); {
 		end, first := begin, len(ordered)
-		for end < len(steps) && steps[end].queue.Priority == steps[begin].queue.Priority {
+		for end < len(steps) && steps[end].queue.Priority == steps[begin].queue.Priority &&
+			steps[end].beyondRate == steps[begin].beyondRate {
 			if p.isGathering(steps[end]) {
 				ordered = append(ordered, steps[end])
 			}
@@ -109,6 +110,7 @@
 	case !isComplete:
 	case p.reserve(r).Take(int64(len(r.waiting)) * r.step.CapacityNeed().Processors):
 		p.keep(r, slots.chosen)
+		p.countUsage(r, len(r.waiting))
 	default:
 		p.deferred = append(p.deferred, r)
 		return
--- a/internal/scheduler/heavyload_test.go
+++ b/internal/scheduler/heavyload_test.go
@@ -112,6 +112,8 @@
 	submissions []submission
 	// load is the rate of submissions, relative to the kinds' own, at a time from the start.
 	load func(time.Duration) float64
+	// beforeRound is called before each round, if it is set.
+	beforeRound func()
 	// idle and idleRounds measure the processors that are idle while as many are waited for,
 	// and kept those of them that are kept for gangs or wide steps.
 	idle, kept float64
@@ -156,6 +158,9 @@
 			}
 		}
 		h.endAttempts()
+		if h.beforeRound != nil {
+			h.beforeRound()
+		}
 		h.scheduler.reset()
 		h.scheduler.round(h.t.Context())
 		synctest.Wait()
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -74,6 +74,9 @@
 	gathering map[adviser.StepName]time.Duration
 	// keptPriority is the priority of the most urgent queue for which the plan keeps capacity.
 	keptPriority int
+	// usage is what the departments hold with the starts of this plan and the gangs for which
+	// it keeps capacity, for departments of which it has any.
+	usage map[string]modeler.Resources
 	// deferred are the gangs beyond the reserve. They gather what all other steps leave.
 	deferred []*readyStep
 }
@@ -135,9 +138,14 @@
 		if r.workflow.DueAt(r.name.Occurrence).After(now) {
 			continue
 		}
-		p.placeStep(ctx, r)
+		if r = p.limitToCap(r); r != nil {
+			p.placeStep(ctx, r)
+		}
 	}
 	for _, r := range p.deferred {
+		if p.limitToCap(r) == nil {
+			continue
+		}
 		permits := p.scheduler.options.Adviser.Permits(r.name)
 		p.requestForGang(ctx, r, permits, p.findSlots(r, permits))
 	}
@@ -152,6 +160,7 @@
 	}
 	chosen := p.chooseSessions(r, permits)
 	p.starts = append(p.starts, chosen...)
+	p.countUsage(r, len(chosen))
 	missing := len(r.waiting) - len(chosen)
 	if missing == 0 || r.queue.Permit == nil {
 		return
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -402,6 +402,39 @@
 	})
 }
 
+// TestGangThatGathersIsNotOvertaken guards against a gang that loses what it has gathered to
+// one with an earlier deadline, so that the capacity was idle for nothing.
+func TestGangThatGathersIsNotOvertaken(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.permitted = []string{"w0", "w1"}
+		f.announce(2)
+		f.submit("urgent", "quick", stepOf(1, 4))
+		busy := f.round("quick")
+		gang := func(s *modeler.StepSpec) { s.Gang = true }
+		f.submit("guarded", "first", with(stepOf(2, 8), gang))
+		rounds := func() {
+			for range 5 {
+				f.round("first")
+				synctest.Wait()
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		rounds()
+		f.submit("guarded", "second", with(stepOf(1, 8), func(s *modeler.StepSpec) { s.Gang, s.Estimate = true, time.Millisecond }))
+		rounds()
+		if got := f.round("second"); len(got) > 0 {
+			t.Errorf("a gang with an earlier deadline started on %v, which the first one has gathered", got)
+		}
+		f.end(modeler.Attempt{Task: modeler.TaskName{Workflow: "quick"}, Session: busy[0], Number: 1}, reducer.AttemptFinished)
+		rounds()
+		if got := f.round("first"); len(got) != 2 {
+			t.Errorf("the first gang started on %v, want both workers", got)
+		}
+	})
+}
+
 // TestGangDoesNotRenewTicketsForeverForWorkerThatStaysFull replays a gang with capacity
 // for all of its tasks but one, which waits on a worker with a long task, while a
 // worker that it has not asked about is free.
