perf: keep the sorted keys of permitted workers with a step's decisions

Each plan sorted them anew for each waiting gang, and the sessions with a ticket once more. Adds a benchmark of plans in which 100 gangs wait.

--- a/internal/adviser/adviser.go
+++ b/internal/adviser/adviser.go
@@ -97,6 +97,9 @@
 	// decisions are by session key. Whether a worker is permitted never changes. The
 	// map is replaced and never written to, so that Permits can share it.
 	decisions map[string]sessionDecision
+	// granted are the keys of the permitted sessions, sorted. The slice is replaced and
+	// never written to.
+	granted []string
 	// asked are the session keys that unanswered calls name. The map is replaced and never
 	// written to. calls is the number of these calls.
 	asked map[string]struct{}
@@ -168,6 +171,8 @@
 // Permits is an immutable snapshot of the decisions for one step.
 type Permits struct {
 	decisions map[string]sessionDecision
+	// granted are the keys of the permitted sessions, sorted.
+	granted []string
 	// at is the time of the snapshot, by the adviser's clock.
 	at time.Duration
 	// asked are the session keys that unanswered calls about the step name.
@@ -197,12 +202,12 @@
 	return d.ticket, d.permitted && d.expires > p.at
 }
 
-// Tickets returns the sessions with a valid ticket for the step, by key, with their
-// tickets.
+// Tickets returns the sessions with a valid ticket for the step, in the order of their
+// keys, with their tickets.
 func (p Permits) Tickets() iter.Seq2[string, string] {
 	return func(yield func(string, string) bool) {
-		for session, d := range p.decisions {
-			if d.permitted && d.expires > p.at && !yield(session, d.ticket) {
+		for _, session := range p.granted {
+			if d := p.decisions[session]; d.expires > p.at && !yield(session, d.ticket) {
 				return
 			}
 		}
@@ -210,25 +215,18 @@
 }
 
 // Granted returns the keys of the sessions that may run the step, sorted. Their
-// tickets may have expired.
-func (p Permits) Granted() []string {
-	return p.grantedKeys(func(sessionDecision) bool { return true })
-}
+// tickets may have expired. Callers must not change the result.
+func (p Permits) Granted() []string { return p.granted }
 
 // Renewable returns the keys of the sessions that may run the step, but whose ticket
 // will not be valid after the time from the snapshot, sorted.
 func (p Permits) Renewable(after time.Duration) []string {
-	return p.grantedKeys(func(d sessionDecision) bool { return d.expires <= p.at+after })
-}
-
-func (p Permits) grantedKeys(matches func(sessionDecision) bool) []string {
 	var keys []string
-	for session, d := range p.decisions {
-		if d.permitted && matches(d) {
+	for _, session := range p.granted {
+		if p.decisions[session].expires <= p.at+after {
 			keys = append(keys, session)
 		}
 	}
-	slices.Sort(keys)
 	return keys
 }
 
@@ -251,7 +249,7 @@
 	defer a.mutex.Unlock()
 	p := Permits{at: a.options.Now()}
 	if r, ok := a.records[step]; ok {
-		p.decisions, p.asked, p.Pending = r.decisions, r.asked, r.calls
+		p.decisions, p.granted, p.asked, p.Pending = r.decisions, r.granted, r.asked, r.calls
 	}
 	return p
 }
@@ -455,6 +453,7 @@
 	}
 	a.updateGrantRate(queue.Name, r.decisions, sessions, decision)
 	r.decisions = withDecisions(r.decisions, sessions, decision, now+decision.Validity-ticketMargin)
+	r.granted = grantedKeys(r.decisions)
 }
 
 // withAsked returns a copy of the session keys with those of the sessions added or removed.
@@ -485,6 +484,18 @@
 	return next
 }
 
+// grantedKeys returns the keys of the permitted sessions, sorted.
+func grantedKeys(decisions map[string]sessionDecision) []string {
+	var keys []string
+	for session, d := range decisions {
+		if d.permitted {
+			keys = append(keys, session)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // updateGrantRate counts the decision on the sessions that earlier decisions do not cover.
 // The others only renew tickets, and are permitted by then. The caller holds the mutex.
 func (a *Adviser) updateGrantRate(
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -64,3 +64,39 @@
 	f.scheduler.reset()
 	return f
 }
+
+// BenchmarkPlanWithGangs plans one round while the workers are almost full and gangs of 20
+// tasks wait, each of which may run on a quarter of the workers.
+func BenchmarkPlanWithGangs(b *testing.B) {
+	for _, workers := range []int{350, 2600} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newBusyFixture(b, workers, 0)
+			f.scheduler.options.Adviser = adviser.New(adviser.Options{
+				RequestPermits: func(_ context.Context, _ string, _ adviser.StepName, workers []string) (adviser.Decision, error) {
+					tickets := map[string]string{}
+					for i, w := range workers {
+						if i%4 == 0 {
+							tickets[w] = "ticket"
+						}
+					}
+					return adviser.Decision{Tickets: tickets, Validity: time.Hour}, nil
+				},
+				EntryAddresses: func() []string { return []string{"e0", "e1", "e2", "e3"} },
+				OnDecision:     func() {}, Now: f.scheduler.options.Now, Log: zap.NewNop(),
+			})
+			const gangs, tasks, rounds = 100, 20, 300
+			for i := range gangs {
+				f.submit("guarded", fmt.Sprintf("g%04d", i), with(stepOf(tasks, 3), func(s *modeler.StepSpec) { s.Gang = true }))
+			}
+			f.scheduler.reset()
+			for range rounds {
+				f.scheduler.round(b.Context())
+				time.Sleep(time.Millisecond)
+			}
+			for b.Loop() {
+				p := newPlan(f.scheduler, f.state)
+				p.placeSteps(b.Context(), f.scheduler.backlog.ordered(f.state, time.Now()))
+			}
+		})
+	}
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/samphirewick/samphirewick/internal/adviser"
@@ -265,7 +264,6 @@
 			sessions = append(sessions, c)
 		}
 	}
-	slices.SortFunc(sessions, func(a, b *sessionCapacity) int { return cmp.Compare(a.key, b.key) })
 	return sessions
 }
 
