fix: a gang that keeps no capacity asks about free workers

While it is deferred or can no longer earn it would otherwise wait for the workers that it knows, however much is free elsewhere, as in docs/incidents/gang-waits-for-full-workers.md.

--- a/internal/scheduler/gathering.go
+++ b/internal/scheduler/gathering.go
@@ -334,7 +334,7 @@
 	renewal := renewalTime(r.queue.Permit, len(r.waiting))
 	gathered := claimer.Gathered{
 		Slots: slots.now, Partial: len(slots.chosen) - slots.now, Known: slots.known + int(asked), Ready: slots.ready,
-		Expired: expiring(slots, permits, renewal), Overdue: p.isOverdue(r),
+		Expired: expiring(slots, permits, renewal), Overdue: p.isOverdue(r) || !p.gathers(r),
 	}
 	demand := p.demand(r, len(r.waiting), permits)
 	demand.MaxSessions = (maxCallsPerGang - permits.Pending) * adviser.MaxWorkersPerCall
