fix: gangs keep capacity from their first permits on, and late ones let others pass

A gang kept nothing until it knew workers for all its tasks, and gathering gangs that were late already went before gangs that could still be in time. Change: capacity is kept from the first permits on; only a gang that can still meet its deadline keeps its place.

--- a/internal/scheduler/gathering.go
+++ b/internal/scheduler/gathering.go
@@ -62,9 +62,10 @@
 	return ordered
 }
 
-// isGathering reports whether the last plan kept capacity for the gang, which can still earn.
+// isGathering reports whether the last plan kept capacity for the gang, which can still meet
+// its deadline. One that is late by now must not hold back those that are not.
 func (p *plan) isGathering(r *readyStep) bool {
-	if !r.step.Gang || r.deadlineClass == deadlineMissed {
+	if !r.step.Gang || r.deadlineClass != deadlineReachable {
 		return false
 	}
 	_, ok := p.scheduler.gathering[r.name]
@@ -97,17 +98,15 @@
 // on, and requests the permits that it needs next. Without the capacity kept for it, later
 // steps of this plan would use it up task by task.
 //
-// A gang keeps nothing before it knows workers for all of its tasks, since it may take
-// several requests to find them. One that cannot earn any more gathers only what all other
-// steps leave, as do those beyond the reserve.
+// A gang keeps capacity from its first permits on, for the tasks that it knows workers for.
+// One that cannot earn any more gathers only what all other steps leave, as do those beyond
+// the reserve.
 func (p *plan) gather(ctx context.Context, r *readyStep, permits adviser.Permits) {
 	slots := p.findSlots(r, permits)
-	isComplete := len(slots.chosen) >= len(r.waiting) && (slots.known >= len(r.waiting) || !p.hasUndecided(r, permits))
 	switch {
 	case r.deadlineClass == deadlineMissed:
 		p.deferred = append(p.deferred, r)
 		return
-	case !isComplete:
 	case p.reserve(r).Take(int64(len(r.waiting)) * r.step.CapacityNeed().Processors):
 		p.keep(r, slots.chosen)
 		p.countUsage(r, len(r.waiting))
@@ -153,14 +152,6 @@
 	}
 }
 
-// hasUndecided reports whether the gang can ask about more workers.
-func (p *plan) hasUndecided(r *readyStep, permits adviser.Permits) bool {
-	return slices.ContainsFunc(p.pool(r.queue.Service).sessions, func(c *sessionCapacity) bool {
-		return permits.Permission(c.key) == adviser.PermissionUnknown && c.session.HasLabel(r.step.Label) &&
-			r.step.CapacityNeed().FitsIn(p.endingCapacity(c))
-	})
-}
-
 // findSlots returns the slots in which the gang's tasks can start soonest.
 func (p *plan) findSlots(r *readyStep, permits adviser.Permits) gangSlots {
 	pool, renewal := p.pool(r.queue.Service), renewalTime(r.queue.Permit, len(r.waiting))
