feat: limiter of what clients can make a process hold

Cause: a listener accepts any number of connections, and a handler reads any number of bodies at once, so that clients decide how much memory and how many descriptors a process uses.

--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -33,6 +33,7 @@
 	Cell     Cell            `ini:"cell"`
 	Platform Platform        `ini:"platform"`
 	Limits   ControlLimits   `ini:"limits"`
+	Clients  Clients         `ini:"clients"`
 }
 
 // Cell configures a cell whose members found it and join it by themselves. Without
@@ -135,6 +136,7 @@
 	Control  EntryControl  `ini:"control"`
 	Callers  EntryCallers  `ini:"callers"`
 	Limits   EntryLimits   `ini:"limits"`
+	Clients  Clients       `ini:"clients"`
 	Platform Platform      `ini:"platform"`
 }
 
@@ -218,6 +220,7 @@
 		},
 		Journal:  ControlJournal{SnapshotEvery: 20000, KeepEntries: 5000, ReserveMegabytes: 64},
 		Election: ControlElection{Timeout: 500 * time.Millisecond, Heartbeat: 100 * time.Millisecond},
+		Clients:  defaultClients(),
 	}
 }
 
@@ -235,6 +238,7 @@
 			Requests:        4096,
 			ReadTimeout:     30 * time.Second,
 		},
+		Clients: defaultClients(),
 	}
 }
 
@@ -260,6 +264,7 @@
 		s.Platform.validate(),
 		requireWithin("limits", "memoryMegabytes", s.Limits.MemoryMegabytes, 0, 1000000),
 		requireWithin("limits", "descriptors", s.Limits.Descriptors, 0, maxDescriptors),
+		s.Clients.validate(),
 	)
 }
 
@@ -304,6 +309,7 @@
 		requireAtLeast("limits", "readTimeout", s.Limits.ReadTimeout, time.Second),
 		requireWithin("limits", "memoryMegabytes", s.Limits.MemoryMegabytes, 0, 1000000),
 		requireWithin("limits", "descriptors", s.Limits.Descriptors, 0, maxDescriptors),
+		s.Clients.validate(),
 		requireWithin("control", "port", s.Control.Port, 0, maxPort),
 		s.Platform.validate(),
 	)
