feat: limits on every listener of entry and control

Change: the platform's listeners, the callers' listener, the listeners for other processes and those for metrics go through one limiter for each process. Connections over [limits] connections of the callers' listener are closed, or take the place of a stalled one, instead of waiting in the backlog.

--- a/cmd/samphirewick-control/internal/commander/gateway.go
+++ b/cmd/samphirewick-control/internal/commander/gateway.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/samphirewick/samphirewick/internal/caller"
+	"github.com/samphirewick/samphirewick/internal/limiter"
 	"github.com/samphirewick/samphirewick/internal/loader"
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/meter"
@@ -31,6 +32,7 @@
 	control  *caller.Caller
 	reloader *reloader.Reloader
 	meter    *meter.Meter
+	limiter  *limiter.Limiter
 }
 
 func newGateway(settings loader.Control, path string, log *zap.Logger) (*gateway, error) {
@@ -39,6 +41,7 @@
 	if g.tls, err = transporter.TLSFromSettings(settings.TLS, log); err != nil {
 		return nil, err
 	}
+	g.limiter = newLimiter(settings, log)
 	g.control = caller.New(settings.Cell.SeedAddresses(), g.tls, log)
 	g.reloader = reloader.New(path, g.reload, log)
 	return g, nil
@@ -68,14 +71,15 @@
 	server := transporter.NewServer(g.handle, g.tls, maxConcurrentCalls)
 	g.log.Info("gateway started", zap.Strings("seeds", g.settings.Cell.SeedAddresses()))
 	err = runner.Run(ctx,
-		func(ctx context.Context) error { return server.Serve(ctx, listener) },
+		func(ctx context.Context) error { return server.Serve(ctx, g.limiter.Listen(listener)) },
 		func(ctx context.Context) error {
 			platformServer := platform.NewControl(g.call, g.log)
-			return platform.Serve(ctx, g.settings.Platform.Control, platformServer, controlDrainTimeout)
+			return platform.Serve(ctx, g.limiter, g.settings.Platform.Control, platformServer, controlDrainTimeout)
 		},
 		g.control.Run,
 		g.reloader.Run,
-		func(ctx context.Context) error { return g.meter.Serve(ctx, adminListener, g.health()) },
+		func(ctx context.Context) error { return g.limiter.Run(ctx, g.meter.Scope) },
+		func(ctx context.Context) error { return g.meter.Serve(ctx, g.limiter, adminListener, g.health()) },
 	)
 	g.log.Info("gateway stopped", zap.Error(err))
 	return errors.Join(err, g.meter.Close())
--- a/cmd/samphirewick-control/internal/commander/platform.go
+++ b/cmd/samphirewick-control/internal/commander/platform.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/samphirewick/samphirewick/internal/adviser"
+	"github.com/samphirewick/samphirewick/internal/limiter"
+	"github.com/samphirewick/samphirewick/internal/loader"
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/transporter"
@@ -47,7 +49,14 @@
 
 // servePlatform serves workers and operators of the platform until the context ends.
 func (m *member) servePlatform(ctx context.Context) error {
-	return platform.Serve(ctx, m.settings.Platform.Control, platform.NewControl(m.callControl, m.log), controlDrainTimeout)
+	server := platform.NewControl(m.callControl, m.log)
+	return platform.Serve(ctx, m.limiter, m.settings.Platform.Control, server, controlDrainTimeout)
+}
+
+// newLimiter returns the limiter of the process's listeners.
+func newLimiter(settings loader.Control, log *zap.Logger) *limiter.Limiter {
+	limits := settings.Limits
+	return limiter.New(limiter.FromSettings(settings.Clients, limits.MemoryMegabytes, limits.Descriptors), log)
 }
 
 // controlDrainTimeout bounds the wait at shutdown for the requests of workers and
--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -22,6 +22,7 @@
 	"github.com/samphirewick/samphirewick/internal/coordinator"
 	"github.com/samphirewick/samphirewick/internal/courier"
 	"github.com/samphirewick/samphirewick/internal/journaler"
+	"github.com/samphirewick/samphirewick/internal/limiter"
 	"github.com/samphirewick/samphirewick/internal/loader"
 	"github.com/samphirewick/samphirewick/internal/logger"
 	"github.com/samphirewick/samphirewick/internal/messenger"
@@ -62,6 +63,7 @@
 	manager     *controller.Manager
 	responder   *responder.Responder
 	meter       *meter.Meter
+	limiter     *limiter.Limiter
 }
 
 // run runs the daemon until it fails or receives SIGINT or SIGTERM.
@@ -161,6 +163,7 @@
 	}
 	m.logRestored(journal, restored)
 	m.meter = meter.New("control")
+	m.limiter = newLimiter(m.settings, m.log)
 	leases := m.settings.Leases
 	m.manager = controller.NewManager(m.coordinator, controller.Options{
 		WorkerLease:     leases.Worker,
@@ -272,7 +275,7 @@
 		zap.String("cell", m.coordinator.Identity().Cell), zap.Uint64("revision", m.coordinator.State().Revision))
 	err = runner.Run(context.Background(),
 		m.handOver,
-		func(ctx context.Context) error { return server.Serve(ctx, listener) },
+		func(ctx context.Context) error { return server.Serve(ctx, m.limiter.Listen(listener)) },
 		m.manager.Run,
 		m.coordinator.Run,
 		m.courier.Run,
@@ -281,7 +284,8 @@
 		m.reloader.Run,
 		m.join,
 		m.updateMetrics,
-		func(ctx context.Context) error { return m.meter.Serve(ctx, adminListener, m.health()) },
+		func(ctx context.Context) error { return m.limiter.Run(ctx, m.meter.Scope) },
+		func(ctx context.Context) error { return m.meter.Serve(ctx, m.limiter, adminListener, m.health()) },
 	)
 	m.log.Info("member stopped", zap.Error(err))
 	return errors.Join(err, m.meter.Close())
--- a/cmd/samphirewick-entry/internal/commander/drainer.go
+++ b/cmd/samphirewick-entry/internal/commander/drainer.go
@@ -36,7 +36,7 @@
 	time.Sleep(e.settings.Instance.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Instance.DrainTimeout)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := e.limiter.Shutdown(server, e.settings.Instance.DrainTimeout); err != nil {
 		e.log.Warn("drain timeout ended before all requests were answered", zap.Error(err))
 	}
 	d.awaitIdle(ctx)
--- a/cmd/samphirewick-entry/internal/commander/platform.go
+++ b/cmd/samphirewick-entry/internal/commander/platform.go
@@ -14,13 +14,14 @@
 // ends only after the load balancer had time to notice that the entry is draining.
 func (e *entry) servePlatform(ctx context.Context) error {
 	server := platform.NewFront(e.control.Call, e.control.CallFollower, e.drainer.isDraining, e.log)
-	return platform.Serve(ctx, e.settings.Platform.Front, server, e.settings.Instance.DrainTimeout)
+	return platform.Serve(ctx, e.limiter, e.settings.Platform.Front, server, e.settings.Instance.DrainTimeout)
 }
 
 // serveReady answers the readiness probe of the platform's load balancer until the
 // context ends.
 func (e *entry) serveReady(ctx context.Context) error {
-	return platform.Serve(ctx, e.settings.Platform.Ready, platform.NewReady(e.health().Ready, e.log), readyDrainTimeout)
+	server := platform.NewReady(e.health().Ready, e.log)
+	return platform.Serve(ctx, e.limiter, e.settings.Platform.Ready, server, readyDrainTimeout)
 }
 
 // readyDrainTimeout bounds the wait at shutdown for readiness probes in flight.
--- a/cmd/samphirewick-entry/internal/commander/run.go
+++ b/cmd/samphirewick-entry/internal/commander/run.go
@@ -11,13 +11,13 @@
 
 	"github.com/google/uuid"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/samphirewick/samphirewick/internal/authenticator"
 	"github.com/samphirewick/samphirewick/internal/caller"
 	"github.com/samphirewick/samphirewick/internal/dispatcher"
 	"github.com/samphirewick/samphirewick/internal/filterer"
 	"github.com/samphirewick/samphirewick/internal/forwarder"
+	"github.com/samphirewick/samphirewick/internal/limiter"
 	"github.com/samphirewick/samphirewick/internal/loader"
 	"github.com/samphirewick/samphirewick/internal/logger"
 	"github.com/samphirewick/samphirewick/internal/messenger"
@@ -60,6 +60,7 @@
 	router        *router.Router
 	relayer       *relayer.Relayer
 	meter         *meter.Meter
+	limiter       *limiter.Limiter
 	drainer       *drainer
 	// policyClient is nil if the settings name no policy service.
 	policyClient *platform.PolicyClient
@@ -112,6 +113,8 @@
 // build creates the components in the order of their dependencies.
 func (e *entry) build() {
 	e.meter = meter.New("entry")
+	limits := e.settings.Limits
+	e.limiter = limiter.New(limiter.FromSettings(e.settings.Clients, limits.MemoryMegabytes, limits.Descriptors), e.log)
 	e.control = caller.New(e.settings.Control.MemberAddresses(), e.tls, e.log)
 	e.dispatcher = dispatcher.New()
 	e.sender = sender.New()
@@ -206,7 +209,6 @@
 	if err != nil {
 		return err
 	}
-	listener = netutil.LimitListener(listener, e.settings.Limits.Connections)
 	peerListener, err := net.Listen("tcp", instance.Address)
 	if err != nil {
 		return err
@@ -224,7 +226,7 @@
 	err = runner.Run(ctx,
 		func(ctx context.Context) error { return e.serveCallers(ctx, listener) },
 		e.servePlatform,
-		func(ctx context.Context) error { return peerServer.Serve(ctx, peerListener) },
+		func(ctx context.Context) error { return peerServer.Serve(ctx, e.limiter.Listen(peerListener)) },
 		e.probeBackends,
 		e.relayer.Run,
 		e.tracker.Run,
@@ -232,7 +234,8 @@
 		e.reloader.Run,
 		e.serveReady,
 		e.updateMetrics,
-		func(ctx context.Context) error { return e.meter.Serve(ctx, adminListener, e.health()) },
+		func(ctx context.Context) error { return e.limiter.Run(ctx, e.meter.Scope) },
+		func(ctx context.Context) error { return e.meter.Serve(ctx, e.limiter, adminListener, e.health()) },
 	)
 	e.log.Info("entry stopped", zap.Error(err))
 	return errors.Join(err, e.meter.Close())
@@ -254,6 +257,11 @@
 		ReadHeaderTimeout: limits.ReadTimeout,
 		ReadTimeout:       limits.ReadTimeout,
 	}
+	listener = e.limiter.ListenHTTP(listener, server, limiter.ServerOptions{
+		BodyBytes:   int64(limits.BodyKilobytes) * kilobyte,
+		Connections: limits.Connections,
+		Refuse:      receiver.Refuse,
+	})
 	failed := make(chan error, 1)
 	go func() { failed <- e.serveListener(server, listener) }()
 	select {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -12,11 +12,14 @@
 
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/samphirewick/samphirewick/internal/limiter"
 )
 
 const (
 	reportInterval = time.Second
 	readTimeout    = 5 * time.Second
+	maxBodyBytes   = 1 << 10
 )
 
 // Meter holds the metrics of a process.
@@ -51,9 +54,9 @@
 	Ready func() error
 }
 
-// Serve serves /metrics, /healthz/live and /healthz/ready on the listener until the
-// context ends, and closes the listener.
-func (m *Meter) Serve(ctx context.Context, listener net.Listener, health Health) error {
+// Serve serves /metrics, /healthz/live and /healthz/ready on the listener, within the limits,
+// until the context ends, and closes the listener.
+func (m *Meter) Serve(ctx context.Context, limits *limiter.Limiter, listener net.Listener, health Health) error {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", m.reporter.HTTPHandler())
 	mux.HandleFunc("/healthz/live", healthHandler(health.Live))
@@ -61,6 +64,7 @@
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
+	listener = limits.ListenHTTP(listener, server, limiter.ServerOptions{BodyBytes: maxBodyBytes})
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -191,6 +192,18 @@
 	writeRefusal(c, refusal, outcomeOf(refusal))
 }
 
+// Refuse answers a request that did not run, before its body was read.
+func Refuse(w http.ResponseWriter, _ *http.Request, status int, reason string) {
+	code := modeler.CodeTooLarge
+	if status == http.StatusTooManyRequests {
+		code = modeler.CodeOverloaded
+	}
+	w.Header().Set(HeaderOutcome, string(modeler.OutcomeNotRun))
+	w.Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(refusalBody{code, "body", reason, modeler.OutcomeNotRun})
+}
+
 func writeRefusal(c echo.Context, refusal *modeler.RefusalError, outcome modeler.Outcome) {
 	if c.Response().Committed {
 		return
--- a/internal/receiver/requests.go
+++ b/internal/receiver/requests.go
@@ -11,6 +11,7 @@
 
 	"github.com/samphirewick/samphirewick/internal/authenticator"
 	"github.com/samphirewick/samphirewick/internal/filterer"
+	"github.com/samphirewick/samphirewick/internal/limiter"
 	"github.com/samphirewick/samphirewick/internal/messenger"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 	"github.com/samphirewick/samphirewick/internal/reducer"
@@ -136,6 +137,8 @@
 		return body, nil
 	case errors.As(err, &sizeErr):
 		return nil, tooLarge(r.options.BodyLimit)
+	case errors.Is(err, limiter.ErrNoMemory):
+		return nil, modeler.Refuse(modeler.CodeOverloaded, "body", "%v", err)
 	default:
 		return nil, modeler.Refuse(modeler.CodeInvalid, "body", "did not arrive whole")
 	}
