--- a/internal/limiter/gate.go
+++ b/internal/limiter/gate.go
@@ -14,6 +14,10 @@
 	// peerStallAfter is how long a connection of another process may be unused before it may
 	// be closed to make room. It is above the time for which the process keeps it itself.
 	peerStallAfter = 30 * time.Second
+	// guaranteedPart is the part of the limit up to which each listener accepts connections
+	// although others have used the limit up, so that readiness probes and other processes of
+	// the cell are answered while callers flood the process.
+	guaranteedPart = 8
 	// victimsInterval is how often the connections are ranked at most, as ranking looks at
 	// every connection.
 	victimsInterval = 50 * time.Millisecond
@@ -135,7 +139,7 @@
 func (l *Limiter) track(c *conn) *ranking {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.limits.Connections > 0 && len(l.conns) >= l.limits.Connections {
+	if limit := l.limits.Connections; limit > 0 && len(l.conns) >= limit && c.gate.open >= max(1, limit/guaranteedPart) {
 		return &l.ranking
 	}
 	if own := c.gate.maxOpen; own > 0 && c.gate.open >= own {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -140,15 +140,6 @@
 	return len(l.conns)
 }
 
-// Refused returns how many connections were closed and requests refused.
-func (l *Limiter) Refused() int64 {
-	var sum int64
-	for r := range reasonCount {
-		sum += l.refused[r].Load()
-	}
-	return sum
-}
-
 // closeSlow closes connections whose body arrives, or whose response is read, too slowly.
 func (l *Limiter) closeSlow() {
 	now := l.now()
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -58,10 +58,16 @@
 
 func (*fakeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// dial returns the client's end of a new connection.
+// dial returns the client's end of a new connection, on which nothing takes longer than an
+// hour. The connection is closed if nothing accepts it.
 func (f *fakeListener) dial() net.Conn {
 	client, server := net.Pipe()
-	f.accepted <- server
+	_ = client.SetDeadline(time.Now().Add(time.Hour))
+	select {
+	case f.accepted <- server:
+	case <-time.After(time.Minute):
+		_ = server.Close()
+	}
 	return client
 }
 
@@ -117,7 +123,7 @@
 		<-h.release
 	}
 	if r.URL.Path == "/large" {
-		_, _ = io.WriteString(w, strings.Repeat("r", 4*megabyte))
+		_, _ = w.Write([]byte(strings.Repeat("r", 4*megabyte)))
 		return
 	}
 	n, err := io.Copy(io.Discard, r.Body)
@@ -253,6 +259,7 @@
 		if read < 4*megabyte {
 			t.Errorf("the slow reader got %d bytes of %d", read, 4*megabyte)
 		}
+		_ = silent.SetReadDeadline(time.Now().Add(time.Minute))
 		if _, err := io.Copy(io.Discard, silent); err != nil {
 			t.Error(err)
 		}
@@ -310,11 +317,61 @@
 				if got := h.status(post(bodyLimit, strings.Repeat("b", bodyLimit))); got != http.StatusOK {
 					t.Errorf("a large request among stalled ones got status %d, want 200", got)
 				}
+				if h.refused[reasonBytes].Load() == 0 {
+					t.Error("no large request was refused, though they don't fit together")
+				}
 			})
 		})
 	}
 }
 
+// TestBudgetKeepsAPartForSmallRequests guards against large requests that leave nothing for
+// small ones, and against a request that nothing else keeps from being served.
+func TestBudgetKeepsAPartForSmallRequests(t *testing.T) {
+	t.Parallel()
+	b := budget{total: 100}
+	if !b.reserve(120, true) {
+		t.Error("a request that is alone was refused")
+	}
+	b.release(120)
+	if !b.reserve(70, true) || b.reserve(10, true) {
+		t.Error("large requests may not fill exactly three quarters of the budget")
+	}
+	if !b.reserve(30, false) || b.reserve(1, false) {
+		t.Error("small requests may not fill exactly the rest of the budget")
+	}
+	large, small := b.enqueue(10, true), b.enqueue(20, false)
+	b.release(30)
+	if b.abandon(large) || !b.abandon(small) {
+		t.Error("the memory that became free was not granted to the small request alone")
+	}
+}
+
+// TestListenersKeepConnectionsOfTheirOwn guards against callers that use up the connections for
+// readiness probes.
+func TestListenersKeepConnectionsOfTheirOwn(t *testing.T) {
+	t.Parallel()
+	limits := calm()
+	runServer(t, limits, func(t *testing.T, h *harness) {
+		for range limits.Connections {
+			h.stall(get("/wait"))
+		}
+		if got := h.status(get("/")); got != 0 {
+			t.Errorf("a request over the limit got status %d, want none", got)
+		}
+		probes := newFakeListener()
+		server := &http.Server{Handler: http.HandlerFunc(h.handle)}
+		go func() { _ = server.Serve(h.ListenHTTP(probes, server, ServerOptions{})) }()
+		conn := probes.dial()
+		go func() { _, _ = io.WriteString(conn, get("/")) }()
+		if got := answer(conn); got != http.StatusOK {
+			t.Errorf("a probe got status %d, want 200", got)
+		}
+		_ = server.Close()
+		close(h.release)
+	})
+}
+
 // TestRequestOverTheBudgetIsRefused guards against a refusal that is sent after the request has
 // run, and against one without a time to wait.
 func TestRequestOverTheBudgetIsRefused(t *testing.T) {
--- a/internal/limiter/server.go
+++ b/internal/limiter/server.go
@@ -135,8 +135,14 @@
 		length = firstChunked
 	}
 	cost := requestCost + headerMemory(r.Header) + length*bodyCost
-	if missing := cost - c.held.Load(); missing > 0 && !h.limiter.reserve(r.Context(), c, missing) {
+	missing := cost - c.held.Load()
+	switch {
+	case missing > 0 && !h.limiter.reserve(r.Context(), c, missing):
 		return http.StatusTooManyRequests, reasonBytes
+	case missing < 0 && c.requests.Load() == 1:
+		// The header section took less memory than such a long one may.
+		c.held.Add(missing)
+		h.limiter.budget.release(-missing)
 	}
 	return 0, 0
 }
