--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -35,6 +35,7 @@
 	Limits   ControlLimits   `ini:"limits"`
 
 	Interference Interference `ini:"interference"`
+	Clients      Clients      `ini:"clients"`
 }
 
 // Interference configures what is done about tasks that slow each other down on one
@@ -92,6 +93,8 @@
 type ControlLimits struct {
 	// MemoryMegabytes bounds the memory of the process; zero means no bound.
 	MemoryMegabytes int `ini:"memoryMegabytes"`
+	// Descriptors is how many file descriptors the process may open; zero means unknown.
+	Descriptors int `ini:"descriptors"`
 }
 
 // ControlMember holds the name, the addresses and the data folder of a member.
@@ -143,6 +146,7 @@
 	Control  EntryControl  `ini:"control"`
 	Callers  EntryCallers  `ini:"callers"`
 	Limits   EntryLimits   `ini:"limits"`
+	Clients  Clients       `ini:"clients"`
 	Platform Platform      `ini:"platform"`
 }
 
@@ -193,6 +197,8 @@
 	ReadTimeout     time.Duration `ini:"readTimeout"`
 	// MemoryMegabytes bounds the memory of the process; zero means no bound.
 	MemoryMegabytes int `ini:"memoryMegabytes"`
+	// Descriptors is how many file descriptors the process may open; zero means unknown.
+	Descriptors int `ini:"descriptors"`
 }
 
 // MemberAddresses returns the addresses at which members of control accept calls.
@@ -226,6 +232,7 @@
 		Election: ControlElection{Timeout: 500 * time.Millisecond, Heartbeat: 100 * time.Millisecond},
 
 		Interference: Interference{Avoid: SwitchOff},
+		Clients:      defaultClients(),
 	}
 }
 
@@ -243,6 +250,7 @@
 			Requests:        4096,
 			ReadTimeout:     30 * time.Second,
 		},
+		Clients: defaultClients(),
 	}
 }
 
@@ -267,6 +275,8 @@
 		s.Cell.validate(),
 		s.Platform.validate(),
 		requireWithin("limits", "memoryMegabytes", s.Limits.MemoryMegabytes, 0, 1000000),
+		requireWithin("limits", "descriptors", s.Limits.Descriptors, 0, maxDescriptors),
+		s.Clients.validate(),
 	)
 }
 
@@ -310,12 +320,17 @@
 		requireWithin("limits", "requests", s.Limits.Requests, 1, 100000),
 		requireAtLeast("limits", "readTimeout", s.Limits.ReadTimeout, time.Second),
 		requireWithin("limits", "memoryMegabytes", s.Limits.MemoryMegabytes, 0, 1000000),
+		requireWithin("limits", "descriptors", s.Limits.Descriptors, 0, maxDescriptors),
+		s.Clients.validate(),
 		requireWithin("control", "port", s.Control.Port, 0, maxPort),
 		s.Platform.validate(),
 	)
 }
 
-const maxPort = 65535
+const (
+	maxPort        = 65535
+	maxDescriptors = 10000000
+)
 
 func (c Cell) validate() error {
 	if len(c.Seeds) == 0 {
