--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -82,6 +82,9 @@
 type ControlLimits struct {
 	// MemoryMegabytes bounds the memory of the process; zero means no bound.
 	MemoryMegabytes int `ini:"memoryMegabytes"`
+	// Descriptors is how many file descriptors the process may have open; zero means that
+	// no bound is known.
+	Descriptors int `ini:"descriptors"`
 }
 
 // ControlMember holds the name, the addresses and the data folder of a member.
@@ -183,6 +186,9 @@
 	ReadTimeout     time.Duration `ini:"readTimeout"`
 	// MemoryMegabytes bounds the memory of the process; zero means no bound.
 	MemoryMegabytes int `ini:"memoryMegabytes"`
+	// Descriptors is how many file descriptors the process may have open; zero means that
+	// no bound is known.
+	Descriptors int `ini:"descriptors"`
 }
 
 // MemberAddresses returns the addresses at which members of control accept calls.
@@ -255,6 +261,7 @@
 		s.Cell.validate(),
 		s.Platform.validate(),
 		requireWithin("limits", "memoryMegabytes", s.Limits.MemoryMegabytes, 0, 1000000),
+		requireWithin("limits", "descriptors", s.Limits.Descriptors, 0, 1000000),
 	)
 }
 
@@ -298,6 +305,7 @@
 		requireWithin("limits", "requests", s.Limits.Requests, 1, 100000),
 		requireAtLeast("limits", "readTimeout", s.Limits.ReadTimeout, time.Second),
 		requireWithin("limits", "memoryMegabytes", s.Limits.MemoryMegabytes, 0, 1000000),
+		requireWithin("limits", "descriptors", s.Limits.Descriptors, 0, 1000000),
 		requireWithin("control", "port", s.Control.Port, 0, maxPort),
 		s.Platform.validate(),
 	)
