--- a/cmd/samphirewick/internal/commander/status.go
+++ b/cmd/samphirewick/internal/commander/status.go
@@ -54,6 +54,10 @@
 	for _, c := range s.Services {
 		rows = append(rows, []string{c.Service, strconv.Itoa(c.Backends), strconv.Itoa(c.Serving), strconv.Itoa(c.Slots)})
 	}
+	if d := s.Delegation; d != nil {
+		rows = append(rows, []string{""}, []string{"DELEGATED WORKERS", "ENTRIES THAT CALL THEM", "FAILURES OF ENTRIES"},
+			[]string{strconv.Itoa(d.Workers), strconv.Itoa(d.Entries), formatUint(d.Failures)})
+	}
 	rows = append(rows, []string{""})
 	if len(s.Problems) == 0 {
 		return append(rows, []string{"no problems"})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,7 +62,8 @@
 	// leader has not taken.
 	UnderWay, Untaken int
 	// Late, Full and Refused count the orders that were not sent: past their time-out,
-	// beyond maxCalls, and meant for another process or of an earlier leader.
+	// beyond maxCalls, and meant for another process or of an earlier leader. Full also
+	// counts results that were dropped.
 	Late, Full, Refused uint64
 }
 
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -66,6 +66,11 @@
 // addLocked adds a result, and wakes the exchange that is held if it can't wait or if no other
 // result is expected. The caller holds the mutex.
 func (a *Agent) addLocked(result messenger.CallResult, isUrgent bool) {
+	if len(a.results) >= 2*maxCalls {
+		// The leader takes none; to it, the call gets no answer.
+		a.stats.Full++
+		return
+	}
 	a.results = append(a.results, result)
 	switch {
 	case isUrgent || a.underWay == 0:
--- a/internal/delegator/cell_test.go
+++ b/internal/delegator/cell_test.go
@@ -167,9 +167,9 @@
 
 const latency = 5 * time.Millisecond
 
-// runCell runs the test in a bubble, with workers that each run one task and entries that call
-// all but direct of the workers.
-func runCell(t *testing.T, workers, entries, direct int, test func(t *testing.T, c *cell)) {
+// runCell runs the test in a bubble, with workers that each run one task and four entries that
+// call all but direct of the workers.
+func runCell(t *testing.T, workers, direct int, test func(t *testing.T, c *cell)) {
 	t.Helper()
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
@@ -188,7 +188,7 @@
 				Worker: w.name, StartedAtMillis: 1, Address: w.name + ":1", Service: "planner", Capacity: modeler.Resources{Processors: 10},
 			}})
 		}
-		for i := range entries {
+		for i := range 4 {
 			c.addEntry(fmt.Sprintf("e%d", i))
 		}
 		c.lead(1, direct)
--- a/internal/delegator/delegator_test.go
+++ b/internal/delegator/delegator_test.go
@@ -14,7 +14,7 @@
 // TestDelegatedWorkersKeepTheirLeases guards against leases that end, and against polls without
 // news that cost an exchange each.
 func TestDelegatedWorkersKeepTheirLeases(t *testing.T) {
-	runCell(t, 100, 4, 20, func(t *testing.T, c *cell) {
+	runCell(t, 100, 20, func(t *testing.T, c *cell) {
 		before := c.leader.Stats()
 		time.Sleep(20 * time.Second)
 		c.check(100)
@@ -40,7 +40,7 @@
 	}
 	for name, loss := range losses {
 		t.Run(name, func(t *testing.T) {
-			runCell(t, 60, 4, 10, func(_ *testing.T, c *cell) {
+			runCell(t, 60, 10, func(_ *testing.T, c *cell) {
 				for i := range 5 {
 					used := c.usedEntries()
 					lost := c.entries[used[i%len(used)]]
@@ -59,7 +59,7 @@
 // TestEntryThatReachesNoWorkerLosesItsWorkers guards against workers that stay with an entry that
 // answers the leader but does not reach them, and against tasks that two entries start.
 func TestEntryThatReachesNoWorkerLosesItsWorkers(t *testing.T) {
-	runCell(t, 60, 4, 10, func(t *testing.T, c *cell) {
+	runCell(t, 60, 10, func(t *testing.T, c *cell) {
 		severed := c.usedEntries()[0]
 		c.entries[severed].set(fault{isSevered: true})
 		time.Sleep(4 * time.Second)
@@ -77,7 +77,7 @@
 // TestHalfAnsweredBatchIsSettled guards against starts that are sent again, or given up, because their
 // results were lost while others of the same batch arrived.
 func TestHalfAnsweredBatchIsSettled(t *testing.T) {
-	runCell(t, 60, 4, 10, func(_ *testing.T, c *cell) {
+	runCell(t, 60, 10, func(_ *testing.T, c *cell) {
 		for _, e := range c.entries {
 			e.set(fault{losesResults: true})
 		}
@@ -96,7 +96,7 @@
 // TestNewLeaderTakesOverDelegatedWorkers guards against leases that end because an entry goes on with
 // the calls of the former leader.
 func TestNewLeaderTakesOverDelegatedWorkers(t *testing.T) {
-	runCell(t, 60, 4, 10, func(_ *testing.T, c *cell) {
+	runCell(t, 60, 10, func(_ *testing.T, c *cell) {
 		for epoch := uint64(2); epoch < 6; epoch++ {
 			time.Sleep(time.Duration(epoch) * 100 * time.Millisecond)
 			former := c.stop
@@ -112,7 +112,7 @@
 // TestSessionOfRebornWorkerEndsAtOnce guards against a worker that started again at its address and
 // has to wait for the end of a poll that an entry holds.
 func TestSessionOfRebornWorkerEndsAtOnce(t *testing.T) {
-	runCell(t, 60, 4, 10, func(t *testing.T, c *cell) {
+	runCell(t, 60, 10, func(t *testing.T, c *cell) {
 		w := c.workers["w059"]
 		w.visit(func(time.Duration) {
 			w.born, w.began, w.epoch, w.deadline = 2, time.Now(), 0, 0
@@ -129,19 +129,41 @@
 	})
 }
 
-// TestOrdersAtALostEntryAreUnanswered guards against a start that counts as not sent, and is given to
-// another worker, while a lost entry may have sent it.
-func TestOrdersAtALostEntryAreUnanswered(t *testing.T) {
-	runCell(t, 60, 4, 10, func(t *testing.T, c *cell) {
+// TestOrdersAtALostEntryEndEarlyAndUnanswered guards against calls at a lost entry that use up the time
+// of a lease, and against a start that counts as not sent, and is given to another worker, while
+// the entry may have sent it.
+func TestOrdersAtALostEntryEndEarlyAndUnanswered(t *testing.T) {
+	runCell(t, 60, 10, func(t *testing.T, c *cell) {
 		session, _ := c.snapshot().Sessions.Get(modeler.SessionKey("w059", 1))
 		entry := c.leader.lineOf(session).address
 		c.entries[entry].set(fault{losesAnswers: true})
-		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 1700*time.Millisecond)
 		defer cancel()
+		began := time.Now()
 		order := supervisor.StartOrder{Attempt: modeler.Attempt{Task: modeler.TaskName{Workflow: "w059"}, Number: 1}, Epoch: 1}
 		_, err := c.leader.Calls().Start(ctx, session, order)
 		if err == nil || errors.Is(err, supervisor.ErrNotSent) {
 			t.Errorf("the start that an entry has got ended with %v", err)
 		}
+		if after := time.Since(began); after > hold+exchangeGrace+100*time.Millisecond {
+			t.Errorf("the start ended after %v", after)
+		}
+	})
+}
+
+// TestNoOrderLeavesWithoutConfirmedLeadership guards against orders of a leader that has been replaced.
+func TestNoOrderLeavesWithoutConfirmedLeadership(t *testing.T) {
+	runCell(t, 60, 10, func(t *testing.T, c *cell) {
+		session, _ := c.snapshot().Sessions.Get(modeler.SessionKey("w059", 1))
+		c.mutex.Lock()
+		c.epoch = 2
+		c.mutex.Unlock()
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		order := supervisor.StopOrder{Attempt: modeler.Attempt{Task: modeler.TaskName{Workflow: "w059"}, Number: 1}, Epoch: 1}
+		if err := c.leader.Calls().Stop(ctx, session, order); !errors.Is(err, supervisor.ErrNotSent) {
+			t.Errorf("the stop ended with %v", err)
+		}
+		c.check(60)
 	})
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -313,11 +313,22 @@
 	Entries  []EntryStatus   `json:"entries"`
 	Pools    []PoolStatus    `json:"pools"`
 	Services []ServiceStatus `json:"services"`
+	// Delegation is missing if the leader makes all calls to workers itself.
+	Delegation *DelegationStatus `json:"delegation,omitempty"`
 	// Problems describes what is wrong, one sentence each, problems of members
 	// first. It is empty if nothing is wrong.
 	Problems []string `json:"problems"`
 }
 
+// DelegationStatus tells how many workers the leader does not call itself.
+type DelegationStatus struct {
+	// Workers is the number of delegated workers, Entries that of the entries that call them.
+	Workers int `json:"workers"`
+	Entries int `json:"entries"`
+	// Failures counts the entries that did not make calls, since the leader began to lead.
+	Failures uint64 `json:"failures"`
+}
+
 // MemberStatus describes a member of control as known to the leader.
 type MemberStatus struct {
 	ID      string `json:"id"`
--- a/internal/responder/operators.go
+++ b/internal/responder/operators.go
@@ -199,6 +199,9 @@
 		Services: serviceStatuses(state),
 		Problems: []string{},
 	}
+	if d, ok := leader.Delegation(); ok {
+		s.Delegation = &messenger.DelegationStatus{Workers: d.Workers, Entries: d.Entries, Failures: d.Failures}
+	}
 	s.Problems = append(s.Problems, memberProblems(s.Members)...)
 	s.Problems = append(s.Problems, stateProblems(state, leader)...)
 	return s, nil
