fix: direct calls are as before while nothing is delegated

Cause: with [limits] descriptors set, a call that waited for one of a worker's five connections until its time-out counted as not sent, in small cells too. Change: only while workers are delegated, a direct call has a time until which it may be sent.

--- a/internal/delegator/delegator.go
+++ b/internal/delegator/delegator.go
@@ -78,6 +78,8 @@
 	started chan *line
 
 	lastID, exchanges, calls, failures atomic.Uint64
+	// isBounded is true while workers are delegated, so that others have two connections each.
+	isBounded atomic.Bool
 
 	mutex    sync.Mutex
 	assigner *assigner.Assigner
@@ -165,7 +167,9 @@
 	}
 	d.assigner.Update(workers, usable)
 	delegated := d.assigner.Delegated()
-	d.options.SetBounded(len(workers) > d.options.Capacity)
+	isBounded := len(workers) > d.options.Capacity
+	d.isBounded.Store(isBounded)
+	d.options.SetBounded(isBounded)
 	if delegated != d.reported {
 		d.options.Log.Info("workers delegated", zap.Int("workers", len(workers)), zap.Int("delegated", delegated),
 			zap.Int("entries", d.assigner.EntriesInUse()), zap.Int("usableEntries", len(usable)))
@@ -224,7 +228,7 @@
 // directContext bounds when a call of the leader itself may leave the process, where it may have to
 // wait for the only connection.
 func (d *Delegator) directContext(ctx context.Context) context.Context {
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := ctx.Deadline(); ok && d.isBounded.Load() {
 		return supervisor.WithSendBy(ctx, d.options.Now()+time.Until(deadline))
 	}
 	return ctx
