--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
+	"github.com/samphirewick/samphirewick/internal/assigner"
 	"github.com/samphirewick/samphirewick/internal/caller"
 	"github.com/samphirewick/samphirewick/internal/controller"
 	"github.com/samphirewick/samphirewick/internal/coordinator"
@@ -64,6 +65,8 @@
 	responder   *responder.Responder
 	meter       *meter.Meter
 	limiter     *limiter.Limiter
+	// workerClient is nil if the settings name no address for workers.
+	workerClient *platform.WorkerClient
 }
 
 // run runs the daemon until it fails or receives SIGINT or SIGTERM.
@@ -216,9 +219,12 @@
 		return nil
 	}
 	clients := &entryClients{tls: m.tls, log: m.log, clients: map[string]*transporter.Client{}}
+	descriptors := m.settings.Limits.Descriptors
+	m.workerClient = platform.NewWorkerClient(assigner.MaxConnections(descriptors))
 	return &controller.WorkflowOptions{
-		Calls: platform.NewWorkerClient().Calls(), RequestPermits: clients.requestPermits,
 		AvoidInterference: m.settings.Interference.Avoid.IsOn(),
+		Calls:             m.workerClient.Calls(), RequestPermits: clients.requestPermits,
+		DirectWorkers: assigner.Capacity(descriptors), Exchange: clients.exchangeCalls, SetBounded: m.workerClient.SetBounded,
 	}
 }
 
@@ -373,5 +379,6 @@
 		scope.Gauge("jobs_waiting").Update(float64(state.WaitingJobs.Len()))
 		scope.Gauge("requests_recorded").Update(float64(state.Requests.Len()))
 		departments.update(state)
+		m.updateCallMetrics(scope)
 	}
 }
