perf: no plan while nothing waits, and plans take a third of the time at most

Change: without ready steps a round does nothing; after a long plan the next round waits for twice as long.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,9 @@
 	// minRoundInterval is the shortest time between the beginnings of two rounds. Each
 	// round visits all workers, and commits that come one by one would cause one each.
 	minRoundInterval = 10 * time.Millisecond
+	// planShare bounds the time for plans to 1/planShare of all, so that commits, polls and
+	// calls go on in a cell whose plans take long.
+	planShare = 3
 	// proposeTimeout bounds one commit of starts.
 	proposeTimeout = 2 * time.Second
 	// maxStarts is the number of starts at which a round ends. The tasks of one step
@@ -106,6 +110,8 @@
 	running map[string]runningTasks
 	// hopeless are the steps that were logged as gangs that do not fit.
 	hopeless map[adviser.StepName]struct{}
+	// planTime is how long the last plan took; zero if nothing waited.
+	planTime time.Duration
 	// lastMoveCheck is when the scheduler last checked for attempts to move, by Now.
 	lastMoveCheck time.Duration
 	residents     residentCache
@@ -159,13 +165,14 @@
 	}
 }
 
-// pause waits until minRoundInterval after the round began. It returns false if the
-// context has ended.
+// pause waits until minRoundInterval after the round began, or for longer if its plan took
+// more than 1/planShare of that. It returns false if the context has ended.
 func (s *Scheduler) pause(ctx context.Context, began time.Duration) bool {
+	next := began + max(minRoundInterval, planShare*s.planTime)
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(began + minRoundInterval - s.options.Now()):
+	case <-time.After(next - s.options.Now()):
 		return true
 	}
 }
@@ -252,10 +259,19 @@
 // whether another round is worth running at once.
 func (s *Scheduler) round(ctx context.Context) bool {
 	state, began := s.options.State(), s.options.Now()
-	p, steps := newPlan(s, state), s.backlog.ordered(state, s.options.WallClock())
+	s.planTime = 0
+	steps := s.backlog.ordered(state, s.options.WallClock())
+	if len(steps) == 0 {
+		// A plan visits all workers, which with 3,000 of them takes some milliseconds.
+		s.kept, s.keptPriority, s.gathering = nil, math.MaxInt, nil
+		s.options.OnRound(RoundStats{})
+		return false
+	}
+	p := newPlan(s, state)
 	p.placeSteps(ctx, steps)
+	s.planTime = s.options.Now() - began
 	stats := RoundStats{
-		PlanTime: s.options.Now() - began, WaitingSteps: len(steps), Starts: len(p.starts), Avoided: p.avoidance.avoided(),
+		PlanTime: s.planTime, WaitingSteps: len(steps), Starts: len(p.starts), Avoided: p.avoidance.avoided(),
 	}
 	defer func() { s.options.OnRound(stats) }()
 	s.turnover.Observe(s.options.Now(), len(p.starts), p.running)
