docs: when a gang keeps capacity and asks, after the last change

Cause: comments and docs/PLATFORM.md still said that a gang keeps nothing until it knows workers for all of its tasks. Change: they say what the code does; the share of a ticket's validity for single tasks has a name. Result: no behaviour changes.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -10,9 +10,9 @@
 // that waits while all workers are full requests permits for the capacity that will
 // be free by the time at which it has them.
 //
-// A gang first finds out which workers it may run on, then waits until it has gathered
-// enough capacity there, and then renews its tickets. All the while it asks about other
-// workers too, but only about those that have the capacity now.
+// A gang asks until it knows a worker for each of its tasks. It renews its tickets once
+// all of its capacity is expected in time. One that waits for longer than expected asks
+// about other workers too, but only about those that have the capacity now.
 package claimer
 
 import (
--- a/internal/scheduler/gathering.go
+++ b/internal/scheduler/gathering.go
@@ -27,9 +27,11 @@
 	overdueAfter = 1500 * time.Millisecond
 	// spareSlotsDivisor divides the tasks of a gang to get the number of its spare slots.
 	spareSlotsDivisor = 4
-	// ticketUse is the share of the validity of a ticket within which its task is expected
-	// to start for the ticket to be renewed.
-	ticketUse = 0.4
+	// ticketUse is the share of the validity of a gang's tickets within which its last task is
+	// expected to have capacity for the tickets to be renewed. stepTicketUse is the same for
+	// the ticket of a task that starts alone, which waits for no other.
+	ticketUse     = 0.4
+	stepTicketUse = 0.8
 )
 
 // gatheringFirst returns the steps with the gangs that have begun to gather before the
@@ -123,7 +125,7 @@
 // enough, and the tickets expire unused.
 func (p *plan) gatherForStep(ctx context.Context, r *readyStep, missing int, permits adviser.Permits) {
 	slots, renewal := p.findSlots(r, permits), renewalTime(r.queue.Permit, missing)
-	within := renewal + time.Duration(0.8*float64(r.queue.Permit.Validity))
+	within := renewal + time.Duration(stepTicketUse*float64(r.queue.Permit.Validity))
 	chosen := slots.chosen[:min(missing, len(slots.chosen))]
 	var usable []claimer.Slot
 	var expired []string
