feat: logs show which orders may reach a later life, and when leases were taken for expired

Cause: of a task that ran twice after a restart of its worker, logs did not tell whether orders that set a lease were under way to the earlier life, nor which end of the leases the leader assumed. Change: 'worker started again' has the later life's clock, and how long ago or until when the last order that sets a lease was or is under way; 'worker lease expired' has for how long the leases are taken for expired. Result: no change of behaviour; tests of internal/supervisor pass.

--- a/internal/supervisor/lapse.go
+++ b/internal/supervisor/lapse.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -49,7 +50,7 @@
 		}
 	}
 	l.log().Warn("worker lease expired", zap.String("session", session.Key()), zap.Int("tasks", len(session.Tasks)),
-		zap.Int("ends", len(ends)), zap.Error(cause))
+		zap.Int("ends", len(ends)), zap.Duration("expiredFor", l.now()-l.leasesEnd()), zap.Error(cause))
 	if len(ends) == 0 {
 		return
 	}
@@ -74,19 +75,30 @@
 func (l *link) haveLeasesExpired() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	now := l.now()
-	// An earlier leader's last order was sent before this one began to lead.
-	ended := l.supervisor.options.Since + workerLease*percent/minClockRate + expiryMargin
-	if l.clock.known {
-		ended = max(ended, l.clock.reachedBy(l.deadline))
-	}
-	if now < ended {
+	if l.now() < l.leasesEndLocked() {
 		return false
 	}
 	l.startsBlocked = true
 	return true
 }
 
+// leasesEnd returns the time by which every lease on the worker has surely expired.
+func (l *link) leasesEnd() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.leasesEndLocked()
+}
+
+// leasesEndLocked is leasesEnd for a caller that holds the mutex.
+func (l *link) leasesEndLocked() time.Duration {
+	// An earlier leader's last order was sent before this one began to lead.
+	end := l.supervisor.options.Since + workerLease*percent/minClockRate + expiryMargin
+	if l.clock.known {
+		end = max(end, l.clock.reachedBy(l.deadline))
+	}
+	return end
+}
+
 func (l *link) checkpointOf(name modeler.TaskName, number int) string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -59,6 +59,9 @@
 	// deadline is the latest lease end, on the worker's clock, that any order of
 	// this leader may have set.
 	deadline time.Duration
+	// leaseOrdersEnd is when the last order that sets a lease was or will be given up; zero
+	// if none was sent. Until then it may reach a later life of the worker.
+	leaseOrdersEnd time.Duration
 	// lastAnswer is when the last answer to a poll arrived; zero if none did.
 	lastAnswer time.Duration
 	// unresponsive is true if the last poll was not answered. The link then renews
@@ -174,6 +177,7 @@
 		o.Deadline = l.clock.earliestAt(sent) + workerLease
 		o.Wait = l.waitLocked()
 		l.deadline = max(l.deadline, o.Deadline)
+		l.leaseOrdersEnd = max(l.leaseOrdersEnd, sent+o.Wait+pollGrace)
 	}
 	interruptible, interrupt := context.WithCancelCause(ctx)
 	l.cancelPoll = interrupt
@@ -236,6 +240,7 @@
 	o.Deadline = l.clock.earliestAt(l.now()) + startWindow
 	if !blocked {
 		l.deadline = max(l.deadline, o.Deadline)
+		l.leaseOrdersEnd = max(l.leaseOrdersEnd, l.now()+callTimeout)
 		l.recordSentLocked(o.Attempt)
 	}
 	l.mutex.Unlock()
--- a/internal/supervisor/replacement.go
+++ b/internal/supervisor/replacement.go
@@ -71,7 +71,8 @@
 	}
 	l.log().Info("worker started again", zap.String("session", l.session.Key()),
 		zap.Int64("startedAtMillis", result.StartedAtMillis), zap.Int("running", len(result.Running)),
-		zap.Int("ended", len(result.Ended)), zap.Int("orders", len(l.orders)))
+		zap.Int("ended", len(result.Ended)), zap.Int("orders", len(l.orders)),
+		zap.Duration("clock", result.Clock), zap.Duration("leaseOrdersEndIn", l.leaseOrdersEnd-l.now()))
 	l.replaced, l.startsBlocked, l.replacedAt = true, true, l.now()
 	for _, o := range l.orders {
 		if o.phase == orderFenced {
