test: reproduce tasks that run twice after an order for an earlier life of a worker

Cause: a worker that is up again under its id carries out orders that were meant for its earlier life. Their deadlines are on the clock of that life, so that the worker grants the longest lease, which the leader does not know of; a late poll acknowledges ends of the later life by the position of the earlier one.

--- /dev/null
+++ b/internal/supervisor/earlierlife_test.go
@@ -0,0 +1,132 @@
+package supervisor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/samphirewick/samphirewick/internal/modeler"
+	"github.com/samphirewick/samphirewick/internal/reducer"
+)
+
+// TestTaskRunsOnceAfterOrderForEarlierLife guards against a task that is started elsewhere while
+// it runs on a later life of a worker, whose lease an order for the earlier life has extended.
+func TestTaskRunsOnceAfterOrderForEarlierLife(t *testing.T) {
+	start := func(h *harness, _ PollOrder) {
+		h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStart()})
+		time.Sleep(10 * time.Millisecond)
+	}
+	lateStart := func(h *harness, o PollOrder) {
+		h.worker.set(func(f *fakeWorker) { f.delayStarts = 1500 * time.Millisecond })
+		start(h, o)
+		h.worker.set(func(f *fakeWorker) { f.delayStarts = 0 })
+	}
+	poll := func(h *harness, o PollOrder) { h.worker.pollOnce(o) }
+	tests := map[string]struct {
+		// arrives makes an order for the earlier life arrive once the worker is up again, and
+		// arrivesLate once the later life has answered a poll.
+		arrives, arrivesLate func(h *harness, lastPoll PollOrder)
+	}{
+		"a start":                          {arrives: start},
+		"a start that is carried out late": {arrives: lateStart},
+		"a poll":                           {arrives: poll},
+		"a poll that is carried out late":  {arrivesLate: poll},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(_ *testing.T, h *harness) {
+				time.Sleep(20 * time.Second)
+				lastPoll := h.worker.lastPoll
+				later := h.restartWorker()
+				if tt.arrives != nil {
+					tt.arrives(h, lastPoll)
+				}
+				h.announceLaterLife()
+				time.Sleep(300 * time.Millisecond)
+				h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStartOn(later)})
+				time.Sleep(300 * time.Millisecond)
+				if tt.arrivesLate != nil {
+					tt.arrivesLate(h, lastPoll)
+				}
+				time.Sleep(time.Second)
+				if !h.worker.runs(onlyTask) {
+					h.t.Fatal("the later life does not run the task")
+				}
+				h.cutOffUntilReleased()
+			})
+		})
+	}
+}
+
+// TestNewLeaderWaitsForLeaseOfLaterLife guards against a new leader that takes an attempt for
+// lapsed while a later life of its worker runs it, under a lease that an order for the earlier
+// life has set.
+func TestNewLeaderWaitsForLeaseOfLaterLife(t *testing.T) {
+	tests := map[string]struct {
+		isAnnounced bool
+		// isReached is true if the worker answers the new leader before it is cut off.
+		isReached bool
+	}{
+		"the later life is known":                 {isAnnounced: true},
+		"the later life is known, and is reached": {isAnnounced: true, isReached: true},
+		"the later life is not known":             {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(_ *testing.T, h *harness) {
+				time.Sleep(20 * time.Second)
+				later := h.restartWorker()
+				h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStart()})
+				time.Sleep(10 * time.Millisecond)
+				if tt.isAnnounced {
+					h.announceLaterLife()
+					time.Sleep(300 * time.Millisecond)
+					h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStartOn(later)})
+					time.Sleep(10 * time.Millisecond)
+				}
+				h.worker.set(func(f *fakeWorker) { f.disconnected = !tt.isReached })
+				h.stop()
+				h.startLeader(2)
+				if tt.isReached {
+					time.Sleep(100 * time.Millisecond)
+				}
+				if !h.worker.runs(onlyTask) {
+					h.t.Fatal("the later life does not run the task")
+				}
+				h.cutOffUntilReleased()
+			})
+		})
+	}
+}
+
+// TestLatePollForEarlierLifeDropsNoEnd guards against a late poll for an earlier life that
+// acknowledges an end of the later one: the task had finished, and was run again.
+func TestLatePollForEarlierLifeDropsNoEnd(t *testing.T) {
+	runSupervised(t, func(t *testing.T, h *harness) {
+		h.apply(reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &modeler.WorkflowSpec{
+			ID: "first", Queue: "q", Steps: []modeler.StepSpec{{Count: 1, Need: modeler.Resources{Processors: 1}}},
+		}})
+		first := modeler.Attempt{Task: modeler.TaskName{Workflow: "first"}, Session: onlySession, Number: 1}
+		time.Sleep(100 * time.Millisecond)
+		h.apply(reducer.Command{Kind: reducer.KindStartAttempts, Attempts: []modeler.Attempt{first}})
+		h.supervisor.Start(context.Background(), StartOrder{Attempt: first})
+		time.Sleep(100 * time.Millisecond)
+		h.worker.finish(first.Task)
+		time.Sleep(time.Second)
+		late := h.worker.lastPoll
+		if late.AckedPosition == 0 {
+			t.Fatal("the earlier life's end was not acknowledged")
+		}
+		later := h.restartWorker()
+		h.announceLaterLife()
+		time.Sleep(300 * time.Millisecond)
+		h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStartOn(later)})
+		time.Sleep(300 * time.Millisecond)
+		h.worker.finish(onlyTask)
+		h.worker.pollOnce(late)
+		time.Sleep(2 * time.Second)
+		if !h.hasFinished() {
+			t.Errorf("task is %+v, want its workflow finished", h.task())
+		}
+	})
+}
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -16,10 +16,12 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
+		defer func() {
+			h.stop()
+			// Calls that are still in progress end with their time-outs.
+			time.Sleep(10 * time.Second)
+		}()
 		test(t, h)
-		h.stop()
-		// Calls that are still in progress end with their time-outs.
-		time.Sleep(10 * time.Second)
 	})
 }
 
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -30,6 +30,8 @@
 	// acceptedStarts counts the starts that took effect, polls the polls.
 	acceptedStarts int
 	polls          int
+	// lastPoll is the last poll that renews the lease.
+	lastPoll PollOrder
 
 	// disconnected workers receive no calls and answer none.
 	disconnected bool
@@ -152,8 +154,10 @@
 	case o.Epoch < f.epoch:
 		return ResultFenced
 	case f.full:
+		f.extendLease(o.Deadline)
 		return ResultFull
 	case o.Attempt.Number <= f.fenced[o.Attempt.Task]:
+		f.extendLease(o.Deadline)
 		return ResultStale
 	case o.Deadline <= f.clock():
 		return ResultLate
@@ -204,7 +208,12 @@
 }
 
 func (f *fakeWorker) poll(ctx context.Context, o PollOrder) (PollResult, error) {
-	f.set(func(f *fakeWorker) { f.polls++ })
+	f.set(func(f *fakeWorker) {
+		f.polls++
+		if o.Deadline > 0 {
+			f.lastPoll = o
+		}
+	})
 	wait := time.NewTimer(o.Wait)
 	defer wait.Stop()
 	for {
@@ -368,8 +377,11 @@
 }
 
 // commitStart commits the next start of the task and returns its attempt.
-func (h *harness) commitStart() modeler.Attempt {
-	a := modeler.Attempt{Task: onlyTask, Session: onlySession}
+func (h *harness) commitStart() modeler.Attempt { return h.commitStartOn(onlySession) }
+
+// commitStartOn commits the next start of the task on the session and returns its attempt.
+func (h *harness) commitStartOn(session string) modeler.Attempt {
+	a := modeler.Attempt{Task: onlyTask, Session: session}
 	if h.apply(reducer.Command{Kind: reducer.KindStartAttempts, Attempts: []modeler.Attempt{a}}).Accepted != 1 {
 		h.t.Fatal("start was not accepted")
 	}
@@ -377,6 +389,44 @@
 	return a
 }
 
+// restartWorker makes the worker start again under its id and address, and returns the key of
+// the session of its later life. No call reaches the worker meanwhile.
+func (h *harness) restartWorker() string {
+	h.worker.set(func(f *fakeWorker) { f.disconnected = true })
+	time.Sleep(10 * time.Millisecond)
+	h.worker.set(func(f *fakeWorker) { f.startAgain(); f.disconnected = false })
+	return modeler.SessionKey(h.worker.session.Worker, h.worker.session.StartedAtMillis)
+}
+
+// announceLaterLife awaits the end of the session of the earlier life, as a heartbeat does, and
+// announces the later one.
+func (h *harness) announceLaterLife() {
+	h.t.Helper()
+	if err := h.supervisor.AwaitEnd(h.t.Context(), onlySession); err != nil {
+		h.t.Fatal(err)
+	}
+	session := h.worker.session
+	h.apply(reducer.Command{Kind: reducer.KindAnnounceSession, ReportsBegins: true, Session: &session})
+	h.supervisor.Sync(onlySession)
+	h.supervisor.Sync(session.Key())
+}
+
+// cutOffUntilReleased cuts the worker off, and checks that the state holds the task for as long
+// as the worker runs it, and no longer than that for good.
+func (h *harness) cutOffUntilReleased() {
+	h.t.Helper()
+	h.worker.set(func(f *fakeWorker) { f.disconnected = true })
+	for range 4000 {
+		if !h.task().HoldsResources() && h.worker.runs(onlyTask) {
+			h.t.Fatal("attempt was committed as ended while the worker ran it")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if h.task().HoldsResources() {
+		h.t.Errorf("task is %+v, want it released", h.task())
+	}
+}
+
 func (h *harness) task() modeler.WorkflowTask {
 	w, _ := h.snapshot().Workflows.Get("job")
 	task, _ := w.Task(onlyTask)
