fix: fences tell the lives of a worker apart

Callers saw: a task that had finished was run again, or ran on two workers at the same time, after its worker had started again under its id while a poll or a start for the earlier life got no answer. Cause: all orders of a term had the same fence, the term. A late order for the earlier life was therefore carried out by the later one: a poll acknowledged its ends by the position of the earlier life, so that the worker dropped ends that nobody had read, and polls and starts set the longest lease, as their deadlines are on another clock. Change: the fence of an order holds the term and the session's number in the leadership, so that a worker that has answered a poll for its session refuses orders for its earlier lives. Entries that call on the leader's behalf get the fence with each order. A worker that is asked for its life is asked with the fence of its session. A member of an earlier release must not lead after one of this release: its fences are lower.

--- a/cmd/samphirewick-control/internal/commander/delegation_bench_test.go
+++ b/cmd/samphirewick-control/internal/commander/delegation_bench_test.go
@@ -80,7 +80,7 @@
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 1700*time.Millisecond)
 			defer cancel()
-			if _, err := calls.Poll(ctx, w, supervisor.PollOrder{Epoch: 1, Wait: time.Second, Deadline: time.Hour}); err != nil {
+			if _, err := calls.Poll(ctx, w, supervisor.PollOrder{Fence: 1, Wait: time.Second, Deadline: time.Hour}); err != nil {
 				b.Error(err)
 			}
 		})
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -25,10 +25,10 @@
 	suspended time.Duration
 }
 
-func (n *network) record(kind string, s modeler.Session, epoch uint64) {
+func (n *network) record(kind string, s modeler.Session, fence uint64) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.sent = append(n.sent, fmt.Sprintf("%s %s %d", kind, s.Worker, epoch))
+	n.sent = append(n.sent, fmt.Sprintf("%s %s %d", kind, s.Worker, fence))
 }
 
 func (n *network) sentCount() int {
@@ -47,7 +47,7 @@
 	return New(Options{
 		Calls: supervisor.Calls{
 			Poll: func(ctx context.Context, s modeler.Session, o supervisor.PollOrder) (supervisor.PollResult, error) {
-				n.record("poll", s, o.Epoch)
+				n.record("poll", s, o.Fence)
 				select {
 				case <-ctx.Done():
 					n.mutex.Lock()
@@ -59,7 +59,7 @@
 				return supervisor.PollResult{StartedAtMillis: 1, Full: true}, nil
 			},
 			Stop: func(_ context.Context, s modeler.Session, o supervisor.StopOrder) error {
-				n.record("stop", s, o.Epoch)
+				n.record("stop", s, o.Fence)
 				time.Sleep(n.delay)
 				return nil
 			},
@@ -97,6 +97,9 @@
 }
 
 func exchange(epoch uint64, life string, orders ...messenger.CallOrder) messenger.CallExchange {
+	for i := range orders {
+		orders[i].Fence = epoch
+	}
 	return messenger.CallExchange{Epoch: epoch, Life: life, HoldMillis: 400, Orders: orders}
 }
 
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -14,7 +14,7 @@
 	isUrgent := true
 	switch session := o.Session(); {
 	case o.Poll != nil:
-		answer, err := a.options.Calls.Poll(ctx, session, o.Poll.Order(epoch))
+		answer, err := a.options.Calls.Poll(ctx, session, o.PollOrder())
 		result = result.WithError(err)
 		if err == nil {
 			isUrgent = o.Urgent || len(answer.Ended) > 0 || answer.Unread > 0 || answer.StartedAtMillis != o.Born
@@ -22,13 +22,13 @@
 		}
 		a.endPoll(o, answer, err == nil)
 	case o.Start != nil:
-		started, err := a.options.Calls.Start(ctx, session, o.StartOrder(epoch))
+		started, err := a.options.Calls.Start(ctx, session, o.StartOrder())
 		result = result.WithError(err)
 		result.Start = started
 	case o.Stop != nil:
-		result = result.WithError(a.options.Calls.Stop(ctx, session, o.StopOrder(epoch)))
+		result = result.WithError(a.options.Calls.Stop(ctx, session, o.StopOrder()))
 	default:
-		result = result.WithError(a.options.Calls.Pace(ctx, session, o.PaceOrder(epoch)))
+		result = result.WithError(a.options.Calls.Pace(ctx, session, o.PaceOrder()))
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -27,7 +27,11 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	result, err := l.options.Workflows.Calls.Poll(bounded, s, supervisor.PollOrder{Epoch: l.term})
+	fence := supervisor.Fence(l.term, 0)
+	if workers := l.supervisor.Load(); workers != nil {
+		fence = workers.WorkerFence(s.Worker)
+	}
+	result, err := l.options.Workflows.Calls.Poll(bounded, s, supervisor.PollOrder{Fence: fence})
 	if err == nil && result.StartedAtMillis != s.StartedAtMillis {
 		err = supervisor.ErrOtherIncarnation
 	}
--- a/internal/delegator/cell_test.go
+++ b/internal/delegator/cell_test.go
@@ -27,7 +27,7 @@
 	name     string
 	born     int64
 	began    time.Time
-	epoch    uint64
+	fence    uint64
 	deadline time.Duration
 	running  map[modeler.TaskName]int
 	fenced   map[modeler.TaskName]int
@@ -63,14 +63,14 @@
 		Start: func(_ context.Context, _ modeler.Session, o supervisor.StartOrder) (result supervisor.StartResult, _ error) {
 			w.visit(func(clock time.Duration) {
 				switch {
-				case o.Epoch < w.epoch:
+				case o.Fence < w.fence:
 					result = supervisor.ResultFenced
 				case o.Deadline <= clock:
 					result = supervisor.ResultLate
 				case o.Attempt.Number <= w.fenced[o.Attempt.Task]:
 					result = supervisor.ResultStale
 				default:
-					w.epoch, w.deadline, result = o.Epoch, max(w.deadline, o.Deadline), supervisor.ResultStarted
+					w.fence, w.deadline, result = o.Fence, max(w.deadline, o.Deadline), supervisor.ResultStarted
 					w.running[o.Attempt.Task] = o.Attempt.Number
 					w.starts[o.Attempt]++
 				}
@@ -88,8 +88,8 @@
 		Poll: func(ctx context.Context, _ modeler.Session, o supervisor.PollOrder) (r supervisor.PollResult, _ error) {
 			w.visit(func(time.Duration) {
 				w.polls[caller]++
-				if o.Epoch >= w.epoch {
-					w.epoch, w.deadline = o.Epoch, max(w.deadline, o.Deadline)
+				if o.Fence >= w.fence {
+					w.fence, w.deadline = o.Fence, max(w.deadline, o.Deadline)
 				}
 			})
 			select {
--- a/internal/delegator/delegator.go
+++ b/internal/delegator/delegator.go
@@ -239,7 +239,7 @@
 	if l == nil {
 		return d.options.Direct.Start(d.directContext(ctx), s, o)
 	}
-	_, result, err := l.do(ctx, s, messenger.CallOrder{Start: messenger.NewStartCall(o), Urgent: true})
+	_, result, err := l.do(ctx, s, messenger.CallOrder{Start: messenger.NewStartCall(o), Fence: o.Fence, Urgent: true})
 	if err != nil {
 		return "", err
 	}
@@ -252,7 +252,7 @@
 		return d.options.Direct.Stop(d.directContext(ctx), s, o)
 	}
 	call := messenger.AttemptCall{Task: o.Attempt.Task, Number: o.Attempt.Number}
-	_, result, err := l.do(ctx, s, messenger.CallOrder{Stop: &call, Urgent: true})
+	_, result, err := l.do(ctx, s, messenger.CallOrder{Stop: &call, Fence: o.Fence, Urgent: true})
 	return errors.Join(err, result.Err())
 }
 
@@ -262,7 +262,7 @@
 		return d.options.Direct.Pace(d.directContext(ctx), s, o)
 	}
 	call := messenger.AttemptCall{Task: o.Attempt.Task, Number: o.Attempt.Number, Percent: o.Percent}
-	_, result, err := l.do(ctx, s, messenger.CallOrder{Pace: &call, Urgent: true})
+	_, result, err := l.do(ctx, s, messenger.CallOrder{Pace: &call, Fence: o.Fence, Urgent: true})
 	return errors.Join(err, result.Err())
 }
 
@@ -275,7 +275,7 @@
 	if known.life != l.currentLife() {
 		known = base{}
 	}
-	order := messenger.CallOrder{Poll: messenger.NewPollCall(o, known.id), Urgent: o.Wait <= urgentWait}
+	order := messenger.CallOrder{Poll: messenger.NewPollCall(o, known.id), Fence: o.Fence, Urgent: o.Wait <= urgentWait}
 	life, result, err := l.do(ctx, s, order)
 	if err == nil {
 		if life != known.life {
--- a/internal/delegator/delegator_test.go
+++ b/internal/delegator/delegator_test.go
@@ -119,7 +119,7 @@
 	runCell(t, 60, 10, func(t *testing.T, c *cell) {
 		w := c.workers["w059"]
 		w.visit(func(time.Duration) {
-			w.born, w.began, w.epoch, w.deadline = 2, time.Now(), 0, 0
+			w.born, w.began, w.fence, w.deadline = 2, time.Now(), 0, 0
 			clear(w.running)
 			clear(w.fenced)
 		})
@@ -144,7 +144,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 1700*time.Millisecond)
 		defer cancel()
 		began := time.Now()
-		order := supervisor.StartOrder{Attempt: modeler.Attempt{Task: modeler.TaskName{Workflow: "w059"}, Number: 1}, Epoch: 1}
+		order := supervisor.StartOrder{Attempt: modeler.Attempt{Task: modeler.TaskName{Workflow: "w059"}, Number: 1}, Fence: 1}
 		_, err := c.leader.Calls().Start(ctx, session, order)
 		if err == nil || errors.Is(err, supervisor.ErrNotSent) {
 			t.Errorf("the start that an entry has got ended with %v", err)
@@ -164,7 +164,7 @@
 		c.mutex.Unlock()
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
-		order := supervisor.StopOrder{Attempt: modeler.Attempt{Task: modeler.TaskName{Workflow: "w059"}, Number: 1}, Epoch: 1}
+		order := supervisor.StopOrder{Attempt: modeler.Attempt{Task: modeler.TaskName{Workflow: "w059"}, Number: 1}, Fence: 1}
 		if err := c.leader.Calls().Stop(ctx, session, order); !errors.Is(err, supervisor.ErrNotSent) {
 			t.Errorf("the stop ended with %v", err)
 		}
--- a/internal/messenger/callcodec.go
+++ b/internal/messenger/callcodec.go
@@ -16,7 +16,7 @@
 // for a poll of eight tasks.
 
 // callCodecVersion is the first byte of encoded orders and results.
-const callCodecVersion = 1
+const callCodecVersion = 2
 
 // The kinds of orders, in the low bits of an order's flags, and the flags.
 const (
@@ -144,6 +144,7 @@
 	w.signed(o.Born)
 	w.text(o.Address)
 	w.signed(o.SendBy)
+	w.unsigned(o.Fence)
 	switch {
 	case o.Poll != nil:
 		w.signed(o.Poll.Deadline)
@@ -302,7 +303,8 @@
 func (r *wireReader) order() CallOrder {
 	flags := r.octet()
 	o := CallOrder{Urgent: flags&flagUrgent != 0}
-	o.ID, o.Worker, o.Born, o.Address, o.SendBy = r.unsigned(), r.text(), r.signed(), r.text(), r.signed()
+	o.ID, o.Worker, o.Born, o.Address = r.unsigned(), r.text(), r.signed(), r.text()
+	o.SendBy, o.Fence = r.signed(), r.unsigned()
 	switch flags & kindMask {
 	case kindPoll:
 		o.Poll = &PollCall{Deadline: r.signed(), Acked: r.unsigned(), Wait: r.signed(), Base: r.unsigned()}
--- a/internal/messenger/calls.go
+++ b/internal/messenger/calls.go
@@ -17,7 +17,7 @@
 // CallExchange holds calls to workers that an entry makes on behalf of the leader. Times are in
 // milliseconds.
 type CallExchange struct {
-	// Epoch is the leader's term, and that of all orders.
+	// Epoch is the leader's term.
 	Epoch uint64 `json:"epoch"`
 	// Life is the process of the entry that the orders are for. Empty only asks for it.
 	Life string `json:"life,omitempty"`
@@ -36,6 +36,8 @@
 	Address string
 	// SendBy is the time on the entry's boot clock after which the call must not be sent.
 	SendBy int64
+	// Fence is the fence of the order, see supervisor.Fence.
+	Fence uint64
 	// Urgent reports that the result of a poll may not wait for others.
 	Urgent bool
 
@@ -154,9 +156,10 @@
 	return &PollCall{Deadline: o.Deadline.Milliseconds(), Acked: o.AckedPosition, Wait: o.Wait.Milliseconds(), Base: base}
 }
 
-// Order returns the order of the poll.
-func (c PollCall) Order(epoch uint64) supervisor.PollOrder {
-	return supervisor.PollOrder{Deadline: millis(c.Deadline), Epoch: epoch, AckedPosition: c.Acked, Wait: millis(c.Wait)}
+// PollOrder returns the order of the poll, which must be set.
+func (o CallOrder) PollOrder() supervisor.PollOrder {
+	c := o.Poll
+	return supervisor.PollOrder{Deadline: millis(c.Deadline), Fence: o.Fence, AckedPosition: c.Acked, Wait: millis(c.Wait)}
 }
 
 // NewStartCall returns the start of an order.
@@ -168,22 +171,22 @@
 }
 
 // StartOrder returns the order of the start, which must be set.
-func (o CallOrder) StartOrder(epoch uint64) supervisor.StartOrder {
+func (o CallOrder) StartOrder() supervisor.StartOrder {
 	c := o.Start
 	return supervisor.StartOrder{
-		Attempt: o.attempt(c.Task, c.Number), Payload: c.Payload, Deadline: millis(c.Deadline), Epoch: epoch,
+		Attempt: o.attempt(c.Task, c.Number), Payload: c.Payload, Deadline: millis(c.Deadline), Fence: o.Fence,
 		Checkpoint: c.Checkpoint, Ticket: c.Ticket,
 	}
 }
 
 // StopOrder returns the order of the stop, which must be set.
-func (o CallOrder) StopOrder(epoch uint64) supervisor.StopOrder {
-	return supervisor.StopOrder{Attempt: o.attempt(o.Stop.Task, o.Stop.Number), Epoch: epoch}
+func (o CallOrder) StopOrder() supervisor.StopOrder {
+	return supervisor.StopOrder{Attempt: o.attempt(o.Stop.Task, o.Stop.Number), Fence: o.Fence}
 }
 
 // PaceOrder returns the order of the pace, which must be set.
-func (o CallOrder) PaceOrder(epoch uint64) supervisor.PaceOrder {
-	return supervisor.PaceOrder{Attempt: o.attempt(o.Pace.Task, o.Pace.Number), Epoch: epoch, Percent: o.Pace.Percent}
+func (o CallOrder) PaceOrder() supervisor.PaceOrder {
+	return supervisor.PaceOrder{Attempt: o.attempt(o.Pace.Task, o.Pace.Number), Fence: o.Fence, Percent: o.Pace.Percent}
 }
 
 // NewPollAnswer returns the answer with a result. It refers to the rows of base, the attempts of
--- a/internal/supervisor/earlierlife_test.go
+++ b/internal/supervisor/earlierlife_test.go
@@ -130,3 +130,33 @@
 		}
 	})
 }
+
+// TestWorkerFenceIsAcceptedByWorker guards against an announcement that is refused for good, since
+// the worker has seen a higher fence than that of the poll that asks it for its life.
+func TestWorkerFenceIsAcceptedByWorker(t *testing.T) {
+	runSupervised(t, func(t *testing.T, h *harness) {
+		check := func(when string, isAllowed func(fence uint64) bool) {
+			t.Helper()
+			if fence := h.supervisor.WorkerFence("w0"); !isAllowed(fence) {
+				t.Errorf("%s: fence is %d, the worker has seen %d", when, fence, h.worker.fence)
+			}
+		}
+		isLast := func(fence uint64) bool { return fence == h.worker.fence }
+		h.apply(reducer.Command{Kind: reducer.KindAnnounceSession, Session: &modeler.Session{
+			Worker: "w1", StartedAtMillis: 1, Address: "w1:1", Service: "planner", Capacity: modeler.Resources{Processors: 10},
+		}})
+		h.supervisor.Sync("w1@1")
+		time.Sleep(time.Second)
+		check("first life, beside a newer session", isLast)
+		h.restartWorker()
+		h.announceLaterLife()
+		time.Sleep(time.Second)
+		check("later life", isLast)
+		if h.worker.fence <= Fence(1, 0) || h.worker.fence >= Fence(2, 0) {
+			t.Errorf("fence of the later life is %d, want it between those of the earlier life and of the next term", h.worker.fence)
+		}
+		h.apply(reducer.Command{Kind: reducer.KindEndSessions, Names: []string{h.worker.session.Key()}})
+		h.supervisor.Sync(h.worker.session.Key())
+		check("no session", func(fence uint64) bool { return fence >= h.worker.fence })
+	})
+}
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -53,6 +53,8 @@
 type link struct {
 	supervisor *Supervisor
 	session    modeler.Session
+	// fence is the fence of all orders to the session.
+	fence uint64
 
 	mutex sync.Mutex
 	clock workerClock
@@ -88,9 +90,9 @@
 	ended chan struct{}
 }
 
-func newLink(s *Supervisor, session modeler.Session, inherited []modeler.TaskName) *link {
+func newLink(s *Supervisor, session modeler.Session, inherited []modeler.TaskName, fence uint64) *link {
 	l := &link{
-		supervisor: s, session: session, orders: map[modeler.TaskName]*order{}, committed: map[uint64]struct{}{},
+		supervisor: s, session: session, fence: fence, orders: map[modeler.TaskName]*order{}, committed: map[uint64]struct{}{},
 		ended: make(chan struct{}),
 	}
 	state := s.options.State()
@@ -171,7 +173,7 @@
 func (l *link) poll(ctx context.Context, session modeler.Session) (time.Duration, PollResult, error) {
 	l.mutex.Lock()
 	sent := l.now()
-	o := PollOrder{Epoch: l.supervisor.options.Epoch}
+	o := PollOrder{Fence: l.fence}
 	if l.clock.known && !l.unresponsive && !l.replaced {
 		o.AckedPosition = l.ackedPosition
 		o.Deadline = l.clock.earliestAt(sent) + workerLease
@@ -236,7 +238,7 @@
 	}
 	l.mutex.Lock()
 	blocked := l.startsBlocked
-	o.Epoch = l.supervisor.options.Epoch
+	o.Fence = l.fence
 	o.Deadline = l.clock.earliestAt(l.now()) + startWindow
 	if !blocked {
 		l.deadline = max(l.deadline, o.Deadline)
@@ -345,7 +347,7 @@
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := l.now()
-	err := l.supervisor.options.Calls.Stop(bounded, l.current(), StopOrder{Attempt: a, Epoch: l.supervisor.options.Epoch})
+	err := l.supervisor.options.Calls.Stop(bounded, l.current(), StopOrder{Attempt: a, Fence: l.fence})
 	if err != nil {
 		l.log().Info("stop call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
 			zap.String("session", a.Session), zap.Error(err))
@@ -370,7 +372,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	o := PaceOrder{Attempt: a, Epoch: l.supervisor.options.Epoch, Percent: percent}
+	o := PaceOrder{Attempt: a, Fence: l.fence, Percent: percent}
 	if err := l.supervisor.options.Calls.Pace(bounded, l.current(), o); err != nil {
 		l.log().Info("pace call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
 			zap.String("session", a.Session), zap.Int("percent", percent), zap.Error(err))
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -54,8 +54,8 @@
 	Payload string
 	// Deadline is on the worker's clock; the order has no effect after it.
 	Deadline time.Duration
-	// Epoch is the leader's term; it fences orders of earlier leaders.
-	Epoch      uint64
+	// Fence is the Fence of the session.
+	Fence      uint64
 	Checkpoint string
 	// Ticket is empty where the queue needs no permit.
 	Ticket string
@@ -64,13 +64,13 @@
 // StopOrder stops one attempt, and prevents it from starting later.
 type StopOrder struct {
 	Attempt modeler.Attempt
-	Epoch   uint64
+	Fence   uint64
 }
 
 // PaceOrder throttles a running attempt to a percentage of its full speed.
 type PaceOrder struct {
 	Attempt modeler.Attempt
-	Epoch   uint64
+	Fence   uint64
 	// Percent is 0 to 100.
 	Percent int
 }
@@ -80,7 +80,7 @@
 type PollOrder struct {
 	// Deadline is the end of the lease on the worker's clock; zero renews no lease.
 	Deadline time.Duration
-	Epoch    uint64
+	Fence    uint64
 	// AckedPosition is the position of the last committed end.
 	AckedPosition uint64
 	// Wait is how long the worker may hold the answer while no attempt ends.
@@ -166,6 +166,8 @@
 
 	mutex sync.Mutex
 	links map[string]*link
+	// lives is the number of sessions that were added after New.
+	lives uint64
 	added chan *link
 	// pending tracks the ends that workers have listed and that are being committed.
 	pending *pendingEnds
@@ -188,7 +190,7 @@
 	s.ends = newEndBatcher(s.propose)
 	state := options.State()
 	for _, session := range reducer.Values(state.Sessions) {
-		s.add(session, session.Tasks)
+		s.add(session, session.Tasks, 0)
 	}
 	return s
 }
@@ -227,14 +229,19 @@
 	if !ok {
 		delete(s.links, key)
 	}
+	isNew := ok && !known
+	if isNew {
+		s.lives++
+	}
+	life := s.lives
 	s.mutex.Unlock()
-	if ok && !known {
-		s.add(session, nil)
+	if isNew {
+		s.add(session, nil, life)
 	}
 }
 
-func (s *Supervisor) add(session modeler.Session, inherited []modeler.TaskName) {
-	l := newLink(s, session, inherited)
+func (s *Supervisor) add(session modeler.Session, inherited []modeler.TaskName, life uint64) {
+	l := newLink(s, session, inherited, Fence(s.options.Epoch, life))
 	s.mutex.Lock()
 	s.links[session.Key()] = l
 	s.mutex.Unlock()
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -204,7 +204,7 @@
 				time.Sleep(100 * time.Millisecond)
 				a := h.commitStart()
 				if tt.sent {
-					h.worker.acceptStart(StartOrder{Attempt: a, Epoch: 1, Deadline: h.worker.clock() + workerLease})
+					h.worker.acceptStart(StartOrder{Attempt: a, Fence: Fence(1, 0), Deadline: h.worker.clock() + workerLease})
 				}
 				h.worker.set(func(f *fakeWorker) { f.disconnected = tt.disconnected })
 				h.stop()
@@ -218,7 +218,7 @@
 				if h.task().Phase != tt.want {
 					t.Errorf("task phase is %s, want %s", h.task().Phase, tt.want)
 				}
-				late := StartOrder{Attempt: a, Epoch: 1, Deadline: time.Hour}
+				late := StartOrder{Attempt: a, Fence: Fence(1, 0), Deadline: time.Hour}
 				if !tt.disconnected && h.worker.acceptStart(late) == ResultStarted {
 					t.Error("late order of the earlier leader took effect")
 				}
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -21,7 +21,7 @@
 	mutex        sync.Mutex
 	session      modeler.Session
 	started      time.Time
-	epoch        uint64
+	fence        uint64
 	deadline     time.Duration
 	running      map[modeler.TaskName]int
 	fenced       map[modeler.TaskName]int
@@ -135,7 +135,7 @@
 // nothing of before, and its clock starts anew.
 func (f *fakeWorker) startAgain() {
 	f.session.StartedAtMillis++
-	f.started, f.epoch, f.deadline = time.Now(), 0, 0
+	f.started, f.fence, f.deadline = time.Now(), 0, 0
 	f.running, f.fenced = map[modeler.TaskName]int{}, map[modeler.TaskName]int{}
 	f.ends, f.acknowledged = nil, 0
 }
@@ -151,7 +151,7 @@
 	defer f.mutex.Unlock()
 	f.expireLease()
 	switch {
-	case o.Epoch < f.epoch:
+	case o.Fence < f.fence:
 		return ResultFenced
 	case f.full:
 		f.extendLease(o.Deadline)
@@ -162,7 +162,7 @@
 	case o.Deadline <= f.clock():
 		return ResultLate
 	}
-	f.epoch = o.Epoch
+	f.fence = o.Fence
 	f.extendLease(o.Deadline)
 	f.running[o.Attempt.Task] = o.Attempt.Number
 	f.acceptedStarts++
@@ -196,10 +196,10 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.expireLease()
-	if o.Epoch < f.epoch {
+	if o.Fence < f.fence {
 		return nil
 	}
-	f.epoch = o.Epoch
+	f.fence = o.Fence
 	f.fenced[o.Attempt.Task] = max(f.fenced[o.Attempt.Task], o.Attempt.Number)
 	if number, ok := f.running[o.Attempt.Task]; ok && number == o.Attempt.Number {
 		f.endLocked(o.Attempt.Task, number, reducer.AttemptStopped)
@@ -244,8 +244,8 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.expireLease()
-	if o.Epoch >= f.epoch {
-		f.epoch = o.Epoch
+	if o.Fence >= f.fence {
+		f.fence = o.Fence
 		f.extendLease(o.Deadline)
 		for len(f.ends) > 0 && f.ends[0].Position <= o.AckedPosition {
 			f.ends = f.ends[1:]
@@ -337,7 +337,10 @@
 			},
 			Stop: func(ctx context.Context, _ modeler.Session, o StopOrder) error { return h.worker.stop(ctx, o) },
 			Pace: func(ctx context.Context, _ modeler.Session, _ PaceOrder) error { return h.answerPace(ctx) },
-			Poll: func(ctx context.Context, _ modeler.Session, o PollOrder) (PollResult, error) {
+			Poll: func(ctx context.Context, s modeler.Session, o PollOrder) (PollResult, error) {
+				if s.Worker != h.worker.session.Worker {
+					return PollResult{}, ErrNotSent
+				}
 				return h.worker.poll(ctx, o)
 			},
 		},
