fix: only attempts that another life may run wait for the longest lease

Found by reading the rule on tasks that last (LOST after 6 s). Cause: the wait was for all attempts on a link. Only an attempt that was committed shortly before can have been started by a life that the leader did not know of, and only a worker whose id was known before can have got orders for an earlier life. Change: the wait is decided for each attempt. Members keep in memory when they applied the starts of the last 16 s, so that a new leader knows how old the attempts are that it inherits; what it has not seen counts as recent. The supervisor keeps for 30 s which workers had a session before. Result: tests of internal/supervisor pass under the race detector, 4 runs.

--- a/internal/controller/workflows.go
+++ b/internal/controller/workflows.go
@@ -111,6 +111,9 @@
 		Now:     l.coordinator.Now,
 		State:   l.coordinator.State,
 		Propose: m.instrumentPropose(l.coordinator.Propose),
+
+		StartedBy: l.coordinator.StartedBy(),
+
 		Confirm: func() bool {
 			confirmed := l.coordinator.ConfirmLeadership() && l.coordinator.Leadership().Term == l.term
 			if !confirmed {
--- a/internal/coordinator/apply.go
+++ b/internal/coordinator/apply.go
@@ -18,6 +18,7 @@
 		c.snapshotBytes, c.logBytesSinceSnapshot = len(r.Snapshot.Data), 0
 		c.ViewFeed.Reset(state.Revision)
 		c.TaskFeed.Reset(state.Revision)
+		c.starts.reset(c.Now())
 	}
 	for _, e := range r.Committed {
 		if err := c.applyEntry(e); err != nil {
@@ -42,6 +43,9 @@
 			return err
 		}
 		after, result, changes = reducer.Apply(before, e.Index, command)
+		if command.Kind == reducer.KindStartAttempts {
+			c.starts.add(c.Now(), command.Attempts)
+		}
 	}
 	result.Revision = e.Index
 	c.state.Store(&after)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -129,6 +129,7 @@
 	// TaskFeed all changes, which placement watches.
 	ViewFeed *watcher.Feed[reducer.ChangedRecord]
 	TaskFeed *watcher.Feed[reducer.ChangedRecord]
+	starts   startTimes
 
 	// The following fields are used by the event loop only.
 	pending            map[uint64]pendingProposal
@@ -217,6 +218,7 @@
 		ViewFeed:      watcher.NewFeed[reducer.ChangedRecord](maxFeedBacklog, state.Revision),
 		TaskFeed:      watcher.NewFeed[reducer.ChangedRecord](maxFeedBacklog, state.Revision),
 	}
+	c.starts.reset(c.Now())
 	c.core = replicator.New(options.Core, options.Restored, c.Now())
 	c.identity.Store(&options.Identity)
 	c.state.Store(&state)
--- a/internal/messenger/callcodec_test.go
+++ b/internal/messenger/callcodec_test.go
@@ -14,7 +14,9 @@
 var (
 	testTask   = modeler.TaskName{Workflow: "job.with/odd-name", Occurrence: 2, Step: 3, Index: 4}
 	testOrders = CallOrders{
-		{ID: 1, Worker: "w", Born: -5, Address: "w:1", SendBy: 1e12, Fence: 1<<53 - 1, Poll: &PollCall{Deadline: 7, Acked: 1 << 63, Wait: 1000, Base: 9}},
+		{ID: 1, Worker: "w", Born: -5, Address: "w:1", SendBy: 1e12, Fence: 1<<53 - 1, Poll: &PollCall{
+			Deadline: 7, Acked: 1 << 63, Wait: 1000, Base: 9,
+		}},
 		{ID: 2, Worker: "w", Address: "w:1", Urgent: true, Start: &StartCall{
 			Task: testTask, Number: 2, Payload: "image", Deadline: 3, Checkpoint: "c", Ticket: "t",
 		}},
--- a/internal/supervisor/earlierlife_test.go
+++ b/internal/supervisor/earlierlife_test.go
@@ -35,8 +35,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			runSupervised(t, func(_ *testing.T, h *harness) {
-				time.Sleep(20 * time.Second)
-				lastPoll := h.worker.lastPoll
+				time.Sleep(2 * keepFormer)
+				lastPoll := h.worker.leasePoll()
 				later := h.restartWorker()
 				if tt.arrives != nil {
 					tt.arrives(h, lastPoll)
@@ -63,10 +63,14 @@
 func TestPollForEarlierLifeExtendsLeaseOfItsStart(t *testing.T) {
 	runSupervised(t, func(_ *testing.T, h *harness) {
 		time.Sleep(20 * time.Second)
-		lastPoll := h.worker.lastPoll
+		for polls := h.worker.pollCount(); h.worker.pollCount() == polls; {
+			time.Sleep(time.Millisecond)
+		}
+		lastPoll := h.worker.leasePoll()
 		h.restartWorker()
 		h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStart()})
-		time.Sleep(600 * time.Millisecond)
+		// The poll is given up 1.2 s after it was sent.
+		time.Sleep(1090 * time.Millisecond)
 		h.worker.pollOnce(lastPoll)
 		h.cutOffUntilReleased()
 	})
@@ -113,6 +117,49 @@
 	}
 }
 
+// TestTaskOfLostWorkerIsReleasedSoon guards against tasks that wait for the longest lease although
+// no order for another life of their worker can have set one.
+func TestTaskOfLostWorkerIsReleasedSoon(t *testing.T) {
+	tests := map[string]func(h *harness){
+		"the leader is lost too, long after the start": func(h *harness) {
+			h.startNext()
+			time.Sleep(otherLifeTime + testLongestLease)
+			h.stop()
+			h.worker.set(func(f *fakeWorker) { f.disconnected = true })
+			h.startLeader(2)
+		},
+		"the worker has just started under a new id": func(h *harness) {
+			time.Sleep(2 * keepFormer)
+			h.worker.set(func(f *fakeWorker) { f.disconnected = true })
+			time.Sleep(workerLease)
+			h.worker.set(func(f *fakeWorker) {
+				f.startAgain()
+				f.session.Worker, f.session.Address, f.disconnected = "w1", "w1:1", false
+			})
+			session := h.worker.currentSession()
+			h.apply(reducer.Command{Kind: reducer.KindAnnounceSession, Session: &session})
+			h.supervisor.Sync(session.Key())
+			time.Sleep(time.Second)
+			h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStartOn(session.Key())})
+			time.Sleep(time.Second)
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(t *testing.T, h *harness) {
+				prepare(h)
+				if !h.worker.runs(onlyTask) {
+					t.Fatal("the worker does not run the task")
+				}
+				longest := workerLease*percent/minClockRate + expiryMargin + pollGrace + lostPollDelay
+				if held := h.cutOffUntilReleased(); held > longest {
+					t.Errorf("the task was held for %v, want at most %v", held, longest)
+				}
+			})
+		})
+	}
+}
+
 // TestLatePollForEarlierLifeDropsNoEnd guards against a late poll for an earlier life that
 // acknowledges an end of the later one: the task had finished, and was run again.
 func TestLatePollForEarlierLifeDropsNoEnd(t *testing.T) {
@@ -127,7 +174,7 @@
 		time.Sleep(100 * time.Millisecond)
 		h.worker.finish(first.Task)
 		time.Sleep(time.Second)
-		late := h.worker.lastPoll
+		late := h.worker.leasePoll()
 		if late.AckedPosition == 0 {
 			t.Fatal("the earlier life's end was not acknowledged")
 		}
@@ -152,10 +199,10 @@
 		check := func(when string, isAllowed func(fence uint64) bool) {
 			t.Helper()
 			if fence := h.supervisor.WorkerFence("w0"); !isAllowed(fence) {
-				t.Errorf("%s: fence is %d, the worker has seen %d", when, fence, h.worker.fence)
+				t.Errorf("%s: fence is %d, the worker has seen %d", when, fence, h.worker.seenFence())
 			}
 		}
-		isLast := func(fence uint64) bool { return fence == h.worker.fence }
+		isLast := func(fence uint64) bool { return fence == h.worker.seenFence() }
 		h.apply(reducer.Command{Kind: reducer.KindAnnounceSession, Session: &modeler.Session{
 			Worker: "w1", StartedAtMillis: 1, Address: "w1:1", Service: "planner", Capacity: modeler.Resources{Processors: 10},
 		}})
@@ -166,11 +213,11 @@
 		h.announceLaterLife()
 		time.Sleep(time.Second)
 		check("later life", isLast)
-		if h.worker.fence <= Fence(1, 0) || h.worker.fence >= Fence(2, 0) {
-			t.Errorf("fence of the later life is %d, want it between those of the earlier life and of the next term", h.worker.fence)
+		if h.worker.seenFence() <= Fence(1, 0) || h.worker.seenFence() >= Fence(2, 0) {
+			t.Errorf("fence of the later life is %d, want it between those of the earlier life and of the next term", h.worker.seenFence())
 		}
-		h.apply(reducer.Command{Kind: reducer.KindEndSessions, Names: []string{h.worker.session.Key()}})
-		h.supervisor.Sync(h.worker.session.Key())
-		check("no session", func(fence uint64) bool { return fence >= h.worker.fence })
+		h.apply(reducer.Command{Kind: reducer.KindEndSessions, Names: []string{h.worker.currentSession().Key()}})
+		h.supervisor.Sync(h.worker.currentSession().Key())
+		check("no session", func(fence uint64) bool { return fence >= h.worker.seenFence() })
 	})
 }
--- a/internal/supervisor/lapse.go
+++ b/internal/supervisor/lapse.go
@@ -18,10 +18,11 @@
 		waitToRetry(ctx)
 		return
 	}
+	delay := lostPollDelay
 	if l.supervisor.options.Confirm() {
-		l.commitLapsed(ctx, cause)
+		delay = min(delay, l.commitLapsed(ctx, cause))
 	}
-	wait(ctx, lostPollDelay)
+	wait(ctx, delay)
 }
 
 func (l *link) markUnresponsive() {
@@ -31,32 +32,34 @@
 }
 
 // commitLapsed commits the end of the attempts that the worker holds, except those that
-// may still run on a later life of it.
-func (l *link) commitLapsed(ctx context.Context, cause error) {
+// may still run by an order for another life of it. It returns when the next of these has surely
+// ended, or lostPollDelay.
+func (l *link) commitLapsed(ctx context.Context, cause error) time.Duration {
+	next := lostPollDelay
 	state := l.supervisor.options.State()
 	session, ok := state.Sessions.Get(l.session.Key())
 	if !ok || len(session.Tasks) == 0 {
-		return
+		return next
 	}
 	var ends []reducer.AttemptEnd
 	for _, name := range session.Tasks {
 		w, _ := state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
 		a := modeler.Attempt{Task: name, Session: session.Key(), Number: task.Attempt}
-		if !l.mayRunLater(a) {
-			ends = append(ends, reducer.AttemptEnd{
-				Attempt: a, Outcome: l.lapsedOutcome(a), Checkpoint: l.checkpointOf(name, task.Attempt),
-			})
+		if remaining := l.otherLifeLeaseEnd(a) - l.now(); remaining > 0 {
+			next = min(next, remaining)
+			continue
 		}
+		ends = append(ends, reducer.AttemptEnd{
+			Attempt: a, Outcome: l.lapsedOutcome(a), Checkpoint: l.checkpointOf(name, task.Attempt),
+		})
 	}
 	l.log().Warn("worker lease expired", zap.String("session", session.Key()), zap.Int("tasks", len(session.Tasks)),
 		zap.Int("ends", len(ends)), zap.Duration("expiredFor", l.now()-l.leasesEnd()), zap.Error(cause))
-	if len(ends) == 0 {
-		return
-	}
-	if l.supervisor.ends.commit(ctx, ends) == nil {
+	if len(ends) > 0 && l.supervisor.ends.commit(ctx, ends) == nil {
 		l.logEnds(ends)
 	}
+	return next
 }
 
 // lapsedOutcome returns the outcome of an attempt that is over, and whose end no worker
@@ -82,7 +85,8 @@
 	return true
 }
 
-// leasesEnd returns the time by which every lease on the worker has surely expired.
+// leasesEnd returns the time by which every lease that an order to the session has set on its life of
+// the worker has surely expired.
 func (l *link) leasesEnd() time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -91,26 +95,14 @@
 
 // leasesEndLocked is leasesEnd for a caller that holds the mutex.
 func (l *link) leasesEndLocked() time.Duration {
-	// An earlier leader's last order was sent before this one began to lead. Such orders, and
-	// those for an earlier life of the worker, may be carried out by a life with another clock,
-	// on which their deadlines bound nothing. The first answer fences them.
-	fenced := l.supervisor.options.Since + maxOrderTime
-	if l.firstAnswer > 0 {
-		fenced = l.firstAnswer
-	}
-	end := fenced + l.supervisor.longestLease()
+	// An earlier leader's last order was sent before this one began to lead.
+	end := l.supervisor.options.Since + workerLease*percent/minClockRate + expiryMargin
 	if l.clock.known {
 		end = max(end, l.clock.reachedBy(l.deadline))
 	}
 	return end
 }
 
-// longestLease returns how long after it was carried out an order whose deadline bounds nothing
-// may keep tasks running.
-func (s *Supervisor) longestLease() time.Duration {
-	return s.options.LongestLease*percent/minClockRate + expiryMargin
-}
-
 func (l *link) checkpointOf(name modeler.TaskName, number int) string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -37,6 +37,9 @@
 	maxIdlePollsPerSecond = 600
 	// pollGrace is how long after the wait an answer to a poll may still arrive.
 	pollGrace = 700 * time.Millisecond
+	// maxStartTime is the longest time between the commit of a start and the end or time-out of
+	// its call: it waits for the leadership to be confirmed for up to a second.
+	maxStartTime = time.Second + callTimeout
 	// maxOrderTime is the longest time between the sending of an order that sets a lease and its
 	// end or time-out.
 	maxOrderTime = maxPollWait + pollGrace
@@ -58,6 +61,9 @@
 	session    modeler.Session
 	// fence is the fence of all orders to the session.
 	fence uint64
+	// hasEarlierLife is true if orders for an earlier life of the worker, or of an earlier
+	// leader, may be carried out before the first answer.
+	hasEarlierLife bool
 
 	mutex sync.Mutex
 	clock workerClock
@@ -95,16 +101,23 @@
 	ended chan struct{}
 }
 
-func newLink(s *Supervisor, session modeler.Session, inherited []modeler.TaskName, fence uint64) *link {
-	l := &link{
+func newLink(s *Supervisor, session modeler.Session, fence uint64) *link {
+	return &link{
 		supervisor: s, session: session, fence: fence, orders: map[modeler.TaskName]*order{}, committed: map[uint64]struct{}{},
 		ended: make(chan struct{}),
 	}
-	state := s.options.State()
-	for _, name := range inherited {
+}
+
+// withInherited adds the orders of tasks that were started under earlier leaders.
+func (l *link) withInherited(tasks []modeler.TaskName) *link {
+	l.hasEarlierLife = true
+	state := l.supervisor.options.State()
+	for _, name := range tasks {
 		w, _ := state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
-		l.orders[name] = &order{number: task.Attempt, phase: orderInherited}
+		l.orders[name] = &order{
+			number: task.Attempt, phase: orderInherited, isInherited: true, sentAt: l.supervisor.options.StartedBy(name),
+		}
 	}
 	return l
 }
--- a/internal/supervisor/order.go
+++ b/internal/supervisor/order.go
@@ -29,8 +29,11 @@
 	since time.Duration
 	// stopSentAt is when the last stop was sent; zero if none was.
 	stopSentAt time.Duration
-	// sentAt is when the start was sent last, or at the latest when the order was recorded.
+	// sentAt is when the start was sent last, or at the latest when the order was recorded. Of
+	// an inherited order it is when the start was committed at the latest.
 	sentAt time.Duration
+	// isInherited is true if an earlier leader has committed the start.
+	isInherited bool
 	// hasTicket is true if the start carries a permit.
 	hasTicket bool
 	// hasBegun is true once the worker has confirmed the start or has listed the attempt.
--- a/internal/supervisor/replacement.go
+++ b/internal/supervisor/replacement.go
@@ -113,19 +113,6 @@
 	return reducer.AttemptEnd{}, false
 }
 
-// mayRunLater reports whether the attempt, on a worker that does not answer, may still
-// run because a later life of the worker has got its start. A life lists the attempts that
-// it has started, and a permit is valid in one life only.
-func (l *link) mayRunLater(a modeler.Attempt) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	o, ok := l.orders[a.Task]
-	if !ok || o.number != a.Number || o.isListed || o.hasTicket || o.phase == orderInherited {
-		return false
-	}
-	return l.now() < max(o.sentAt, l.leaseOrdersEnd)+l.supervisor.longestLease()
-}
-
 // interruptPoll ends the poll in progress, so that the next one is sent at once.
 func (l *link) interruptPoll() {
 	l.mutex.Lock()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -146,6 +147,9 @@
 	LongestLease time.Duration
 	// Now is a clock that keeps running while the machine is suspended. Never nil.
 	Now func() time.Duration
+	// StartedBy returns the time, by Now, by which the last start of a task had been committed,
+	// for tasks that were started under earlier leaders. Never nil.
+	StartedBy func(name modeler.TaskName) time.Duration
 	// State returns the latest applied state. Never nil.
 	State func() reducer.State
 	// Propose commits a command. Never nil.
@@ -171,7 +175,9 @@
 	links map[string]*link
 	// lives is the number of sessions that were added after New.
 	lives uint64
-	added chan *link
+	// former holds when the last session of a worker was dropped, for keepFormer.
+	former map[string]time.Duration
+	added  chan *link
 	// pending tracks the ends that workers have listed and that are being committed.
 	pending *pendingEnds
 	ends    *endBatcher
@@ -181,6 +187,10 @@
 // commit takes about a fifth of it.
 const pendingWait = 50 * time.Millisecond
 
+// keepFormer is how long after the end of a session orders for its worker may be carried out.
+// The platform carries out an order that got no answer seconds later, at most 12 s as measured.
+const keepFormer = 30 * time.Second
+
 // addedCapacity bounds the sessions that wait for Run to start their goroutine.
 const addedCapacity = 8192
 
@@ -188,12 +198,13 @@
 // for started under earlier leaders.
 func New(options Options) *Supervisor {
 	s := &Supervisor{
-		options: options, links: map[string]*link{}, added: make(chan *link, addedCapacity), pending: newPendingEnds(),
+		options: options, links: map[string]*link{}, former: map[string]time.Duration{},
+		added: make(chan *link, addedCapacity), pending: newPendingEnds(),
 	}
 	s.ends = newEndBatcher(s.propose)
 	state := options.State()
 	for _, session := range reducer.Values(state.Sessions) {
-		s.add(session, session.Tasks, 0)
+		s.add(newLink(s, session, Fence(options.Epoch, 0)).withInherited(session.Tasks))
 	}
 	return s
 }
@@ -228,29 +239,54 @@
 func (s *Supervisor) Sync(key string) {
 	session, ok := s.options.State().Sessions.Get(key)
 	s.mutex.Lock()
-	_, known := s.links[key]
-	if !ok {
-		delete(s.links, key)
+	l, known := s.links[key]
+	if known && !ok {
+		s.dropLocked(l)
 	}
 	isNew := ok && !known
+	var added *link
 	if isNew {
 		s.lives++
+		added = newLink(s, session, Fence(s.options.Epoch, s.lives))
+		added.hasEarlierLife = s.hasEarlierLifeLocked(session.Worker)
 	}
-	life := s.lives
 	s.mutex.Unlock()
 	if isNew {
-		s.add(session, nil, life)
+		s.add(added)
 	}
 }
 
-func (s *Supervisor) add(session modeler.Session, inherited []modeler.TaskName, life uint64) {
-	l := newLink(s, session, inherited, Fence(s.options.Epoch, life))
+func (s *Supervisor) add(l *link) {
 	s.mutex.Lock()
-	s.links[session.Key()] = l
+	s.links[l.session.Key()] = l
 	s.mutex.Unlock()
 	s.added <- l
 }
 
+// dropLocked drops the link of a session that is no longer in the state. The caller holds the
+// mutex.
+func (s *Supervisor) dropLocked(l *link) {
+	now := s.options.Now()
+	delete(s.links, l.session.Key())
+	maps.DeleteFunc(s.former, func(_ string, dropped time.Duration) bool { return now-dropped > keepFormer })
+	s.former[l.session.Worker] = now
+}
+
+// hasEarlierLifeLocked reports whether orders for an earlier life of the worker may still be
+// carried out. The caller holds the mutex.
+func (s *Supervisor) hasEarlierLifeLocked(worker string) bool {
+	now := s.options.Now()
+	if dropped, ok := s.former[worker]; ok && now-dropped <= keepFormer {
+		return true
+	}
+	for _, l := range s.links {
+		if l.session.Worker == worker {
+			return true
+		}
+	}
+	return now-s.options.Since <= keepFormer
+}
+
 // pollWait returns how long a worker may hold the answer to a poll, so that all
 // workers together cause at most maxIdlePollsPerSecond polls.
 func (s *Supervisor) pollWait() time.Duration {
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -109,6 +109,26 @@
 	return f.polls
 }
 
+// leasePoll returns the last poll that renewed the lease.
+func (f *fakeWorker) leasePoll() PollOrder {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.lastPoll
+}
+
+func (f *fakeWorker) currentSession() modeler.Session {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.session
+}
+
+// seenFence returns the highest fence that the worker has seen.
+func (f *fakeWorker) seenFence() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.fence
+}
+
 func (f *fakeWorker) unacknowledgedEnds() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -276,6 +296,8 @@
 	worker     *fakeWorker
 	isLeader   bool
 	supervisor *Supervisor
+	// startedAt is when the last start of each task was applied.
+	startedAt map[modeler.TaskName]time.Duration
 	// answerPace answers a pace order.
 	answerPace func(ctx context.Context) error
 	stop       func()
@@ -288,7 +310,9 @@
 
 func newHarness(t *testing.T) *harness {
 	t.Helper()
-	h := &harness{t: t, state: reducer.NewState(), isLeader: true, began: time.Now()}
+	h := &harness{
+		t: t, state: reducer.NewState(), isLeader: true, began: time.Now(), startedAt: map[modeler.TaskName]time.Duration{},
+	}
 	h.answerPace = func(context.Context) error { return nil }
 	session := modeler.Session{
 		Worker: "w0", StartedAtMillis: 1, Address: "w0:1", Service: "planner", Capacity: modeler.Resources{Processors: 10},
@@ -312,10 +336,15 @@
 	defer h.mutex.Unlock()
 	var result reducer.Result
 	c.At = time.Now()
+	for _, a := range c.Attempts {
+		h.startedAt[a.Task] = h.now()
+	}
 	h.state, result, _ = reducer.Apply(h.state, h.state.Revision+1, c)
 	return result
 }
 
+func (h *harness) now() time.Duration { return time.Since(h.began) + time.Hour }
+
 func (h *harness) snapshot() reducer.State {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -332,7 +361,6 @@
 // has only the state.
 func (h *harness) startLeader(epoch uint64) {
 	ctx, cancel := context.WithCancel(context.Background())
-	now := func() time.Duration { return time.Since(h.began) + time.Hour }
 	s := New(Options{
 		Calls: Calls{
 			Start: func(ctx context.Context, _ modeler.Session, o StartOrder) (StartResult, error) {
@@ -341,13 +369,14 @@
 			Stop: func(ctx context.Context, _ modeler.Session, o StopOrder) error { return h.worker.stop(ctx, o) },
 			Pace: func(ctx context.Context, _ modeler.Session, _ PaceOrder) error { return h.answerPace(ctx) },
 			Poll: func(ctx context.Context, s modeler.Session, o PollOrder) (PollResult, error) {
-				if s.Worker != h.worker.session.Worker {
+				if s.Worker != h.worker.currentSession().Worker {
 					return PollResult{}, ErrNotSent
 				}
 				return h.worker.poll(ctx, o)
 			},
 		},
-		Epoch: epoch, Since: now(), LongestLease: testLongestLease, Now: now, State: h.snapshot,
+		Epoch: epoch, Since: h.now(), LongestLease: testLongestLease, Now: h.now, State: h.snapshot,
+		StartedBy: func(name modeler.TaskName) time.Duration { return h.startedAt[name] },
 		Propose: func(_ context.Context, c reducer.Command) (reducer.Result, error) {
 			time.Sleep(10 * time.Millisecond)
 			return h.apply(c), nil
@@ -401,7 +430,7 @@
 	h.worker.set(func(f *fakeWorker) { f.disconnected = true })
 	time.Sleep(10 * time.Millisecond)
 	h.worker.set(func(f *fakeWorker) { f.startAgain(); f.disconnected = false })
-	return modeler.SessionKey(h.worker.session.Worker, h.worker.session.StartedAtMillis)
+	return h.worker.currentSession().Key()
 }
 
 // announceLaterLife awaits the end of the session of the earlier life, as a heartbeat does, and
@@ -411,26 +440,29 @@
 	if err := h.supervisor.AwaitEnd(h.t.Context(), onlySession); err != nil {
 		h.t.Fatal(err)
 	}
-	session := h.worker.session
+	session := h.worker.currentSession()
 	h.apply(reducer.Command{Kind: reducer.KindAnnounceSession, ReportsBegins: true, Session: &session})
 	h.supervisor.Sync(onlySession)
 	h.supervisor.Sync(session.Key())
 }
 
 // cutOffUntilReleased cuts the worker off, and checks that the state holds the task for as long
-// as the worker runs it, and no longer than that for good.
-func (h *harness) cutOffUntilReleased() {
+// as the worker runs it, and no longer than that for good. It returns for how long it did.
+func (h *harness) cutOffUntilReleased() time.Duration {
 	h.t.Helper()
 	h.worker.set(func(f *fakeWorker) { f.disconnected = true })
-	for range 4000 {
-		if !h.task().HoldsResources() && h.worker.runs(onlyTask) {
+	held := time.Duration(0)
+	for began := time.Now(); time.Since(began) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
+		if h.task().HoldsResources() {
+			held = time.Since(began)
+		} else if h.worker.runs(onlyTask) {
 			h.t.Fatal("attempt was committed as ended while the worker ran it")
 		}
-		time.Sleep(5 * time.Millisecond)
 	}
 	if h.task().HoldsResources() {
 		h.t.Errorf("task is %+v, want it released", h.task())
 	}
+	return held
 }
 
 func (h *harness) task() modeler.WorkflowTask {
