fix: a start with a permit may run on a later life of its worker

Callers would have seen: a task runs twice, if its worker starts again under its id, gets a start with a permit that was issued since, and is cut off before its next poll. Cause: a permit is valid in one life, and was taken for one of the earlier life. It names the worker's id alone, and the policy service may know the later life before the leader does. Change: an attempt that no answer has listed is given up only after the longest lease, also with a permit. Evidence: the new case of TestStartOnLaterLifeRunsOnce failed before; its guard is caught. Price: the attempts that a worker had not listed when it was lost, those of its last poll interval, start again 3 s later (7 s where the longest lease is 10 s).

--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -243,7 +243,7 @@
 		return false
 	}
 	l.orders[o.Attempt.Task] = &order{
-		number: o.Attempt.Number, phase: orderSending, since: l.now(), sentAt: l.now(), hasTicket: o.Ticket != "",
+		number: o.Attempt.Number, phase: orderSending, since: l.now(), sentAt: l.now(),
 	}
 	return true
 }
--- a/internal/supervisor/order.go
+++ b/internal/supervisor/order.go
@@ -34,8 +34,6 @@
 	sentAt time.Duration
 	// isInherited is true if an earlier leader has committed the start.
 	isInherited bool
-	// hasTicket is true if the start carries a permit.
-	hasTicket bool
 	// hasBegun is true once the worker has confirmed the start or has listed the attempt.
 	hasBegun bool
 	// isListed is true once the session's life has listed the attempt as running.
--- a/internal/supervisor/otherlife.go
+++ b/internal/supervisor/otherlife.go
@@ -38,8 +38,9 @@
 	if l.hasEarlierLife {
 		end = l.earlierOrdersEndLocked() + l.supervisor.longestLease()
 	}
-	// A life lists the attempts that it has started, and a permit is valid in one life only.
-	if o != nil && !o.isListed && !o.hasTicket {
+	// A life lists the attempts that it has started. A permit tells nothing: it is valid in one
+	// life, but the policy service may know the later one before the leader does.
+	if o != nil && !o.isListed {
 		end = max(end, max(o.sentAt, l.leaseOrdersEnd)+l.supervisor.longestLease())
 	}
 	return end
--- a/internal/supervisor/replacement_test.go
+++ b/internal/supervisor/replacement_test.go
@@ -20,6 +20,8 @@
 		announce bool
 		// finishes makes the task finish as soon as it runs.
 		finishes bool
+		// ticket is a permit that was issued once the later life was up.
+		ticket string
 	}{
 		"the start is answered":               {},
 		"the start's answer is lost":          {before: func(f *fakeWorker) { f.loseStartAnswers = true }},
@@ -27,6 +29,9 @@
 		"the later life announces itself":     {announce: true},
 		"the task finishes on the later life": {finishes: true},
 		"the later life is cut off":           {after: func(f *fakeWorker) { f.disconnected = true }},
+		"the later life is cut off, and the start has its permit": {
+			after: func(f *fakeWorker) { f.disconnected = true }, ticket: "k",
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -41,7 +46,7 @@
 						tt.before(f)
 					}
 				})
-				h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStart()})
+				h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStart(), Ticket: tt.ticket})
 				time.Sleep(10 * time.Millisecond)
 				if tt.finishes {
 					h.worker.finish(onlyTask)
