--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,8 +2,8 @@
 # Vets every module and runs its tests with the race detector. Failing tests that
 # are listed in KNOWN-RED.txt are printed but don't fail the run; any other does.
 # On arm64 the race detector itself crashes in the tests of the coordinator and of the
-# delegator, which run many timers in virtual time: there they run without it. The crowds of internal/flooder run
-# last and alone, as they load the machine.
+# delegator, which run many timers in virtual time: there they run without it. The crowds of
+# internal/flooder run last and alone, as they load the machine.
 set -u -o pipefail
 cd "$(dirname "$0")/.." || exit 1
 log=$(mktemp)
@@ -35,7 +35,8 @@
 known() { sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null; }
 failed=$(sed -n 's/^--- FAIL: \([^ ]*\).*/\1/p' "$log" | sort -u)
 unlisted=$(comm -23 <(echo "$failed") <(known | sort -u))
-if grep -q 'build failed\|setup failed\|^panic:\|vet: ' "$log" || [ -z "$failed" ] || [ -n "$unlisted" ]; then
+# A package whose tests crash prints no name of a test.
+if grep -q 'build failed\|setup failed\|^panic:\|^fatal error:\|^ThreadSanitizer:\|vet: ' "$log" || [ -z "$failed" ] || [ -n "$unlisted" ]; then
   echo "failed and not listed in KNOWN-RED.txt: ${unlisted:-see above}"
   exit 1
 fi
