--- a/cmd/samphirewick-standin/internal/commander/commander.go
+++ b/cmd/samphirewick-standin/internal/commander/commander.go
@@ -27,5 +27,6 @@
 		newLoadCmd(app),
 		newVerifyCmd(app, out),
 		newCapacityCmd(app, out),
+		newRestartsCmd(app, out),
 	}
 }
