--- a/internal/supervisor/lapse.go
+++ b/internal/supervisor/lapse.go
@@ -42,12 +42,13 @@
 		return next
 	}
 	var ends []reducer.AttemptEnd
+	longest := time.Duration(0)
 	for _, name := range session.Tasks {
 		w, _ := state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
 		a := modeler.Attempt{Task: name, Session: session.Key(), Number: task.Attempt}
 		if remaining := l.otherLifeLeaseEnd(a) - l.now(); remaining > 0 {
-			next = min(next, remaining)
+			next, longest = min(next, remaining), max(longest, remaining)
 			continue
 		}
 		ends = append(ends, reducer.AttemptEnd{
@@ -55,7 +56,8 @@
 		})
 	}
 	l.log().Warn("worker lease expired", zap.String("session", session.Key()), zap.Int("tasks", len(session.Tasks)),
-		zap.Int("ends", len(ends)), zap.Duration("expiredFor", l.now()-l.leasesEnd()), zap.Error(cause))
+		zap.Int("ends", len(ends)), zap.Duration("expiredFor", l.now()-l.leasesEnd()),
+		zap.Duration("otherLifeEndsIn", longest), zap.Error(cause))
 	if len(ends) > 0 && l.supervisor.ends.commit(ctx, ends) == nil {
 		l.logEnds(ends)
 	}
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -65,6 +65,7 @@
 	}
 	for _, r := range result.Running {
 		if ShouldStop(obs.state, r.Task, r.Number) {
+			l.logObsolete(obs, r)
 			l.requestStop(ctx, modeler.Attempt{Task: r.Task, Session: session.Key(), Number: r.Number})
 		}
 	}
@@ -72,6 +73,18 @@
 	l.commitEnds(ctx, ends, result)
 }
 
+// logObsolete logs that the worker runs an attempt that the state has ended, so that another one may
+// run elsewhere.
+func (l *link) logObsolete(obs observation, r Running) {
+	w, _ := obs.state.Workflows.Get(r.Task.Workflow)
+	task, ok := w.Task(r.Task)
+	if ok && task.HoldsResources() && task.Attempt == r.Number {
+		return
+	}
+	l.log().Warn("worker runs an attempt that has ended", zap.Stringer("task", r.Task), zap.Int("attempt", r.Number),
+		zap.String("session", l.session.Key()), zap.Int("lastAttempt", task.Attempt), zap.Uint64("fence", l.fence))
+}
+
 // dropOldOrders drops the orders of attempts that the state no longer holds. It
 // keeps orders younger than the poll, which may be younger than the state too.
 func (l *link) dropOldOrders(obs observation, session modeler.Session) {
@@ -92,7 +105,8 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.startsBlocked || l.lastAnswer == 0 {
-		l.log().Info("worker is reachable", zap.String("session", l.session.Key()), zap.Int("running", len(result.Running)))
+		l.log().Info("worker is reachable", zap.String("session", l.session.Key()), zap.Int("running", len(result.Running)),
+			zap.Duration("clock", result.Clock), zap.Uint64("fence", l.fence))
 	}
 	l.clock = l.clock.withReading(result.Clock, sent, l.now())
 	if result.Unread != l.unread {
