--- a/cmd/samphirewick-standin/internal/restarter/cell.go
+++ b/cmd/samphirewick-standin/internal/restarter/cell.go
@@ -154,20 +154,21 @@
 	}
 	//nolint:noctx // stopAll ends the process.
 	command := exec.Command(program, "run", "--settings", path)
-	output, err := command.StderrPipe()
-	if err != nil {
-		return errors.Join(err, log.Close())
-	}
+	output, writer := io.Pipe()
+	command.Stdout, command.Stderr = writer, writer
 	if err := command.Start(); err != nil {
 		return errors.Join(fmt.Errorf("start %s: %w", name, err), log.Close())
 	}
 	c.mutex.Lock()
 	c.processes[name] = command
 	c.mutex.Unlock()
+	go func() {
+		_ = command.Wait()
+		_ = writer.Close()
+	}()
 	go func() {
 		c.follow(name, output, log)
 		_ = log.Close()
-		_ = command.Wait()
 		c.ended <- name
 	}()
 	return nil
