--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -224,6 +224,7 @@
 	return &controller.WorkflowOptions{
 		AvoidInterference: m.settings.Interference.Avoid.IsOn(),
 		LongestLease:      m.settings.Leases.Longest,
+		OrderDelay:        m.settings.Leases.LateOrders,
 		Calls:             m.workerClient.Calls(), RequestPermits: clients.requestPermits,
 		DirectWorkers: assigner.Capacity(descriptors), Exchange: clients.exchangeCalls, SetBounded: m.workerClient.SetBounded,
 	}
--- a/internal/controller/workflows.go
+++ b/internal/controller/workflows.go
@@ -26,6 +26,8 @@
 	AvoidInterference bool
 	// LongestLease is the longest lease that a worker grants, see supervisor.Options.
 	LongestLease time.Duration
+	// OrderDelay is how late a worker may carry out an order, see supervisor.Options.
+	OrderDelay time.Duration
 	// DirectWorkers is how many workers the leader calls itself; entries call the others. Zero
 	// means all, and the fields below are then not used.
 	DirectWorkers int
@@ -106,8 +108,10 @@
 		Epoch:        l.term,
 		Since:        l.leadingSince,
 		LongestLease: l.options.Workflows.LongestLease,
+		OrderDelay:   l.options.Workflows.OrderDelay,
 		Now:          l.coordinator.Now,
 		StartedBy:    l.coordinator.StartedBy(),
+		WasListed:    l.coordinator.WasListed(),
 		State:        l.coordinator.State,
 		Propose:      m.instrumentPropose(l.coordinator.Propose),
 		Confirm: func() bool {
--- a/internal/coordinator/apply.go
+++ b/internal/coordinator/apply.go
@@ -43,8 +43,11 @@
 			return err
 		}
 		after, result, changes = reducer.Apply(before, e.Index, command)
-		if command.Kind == reducer.KindStartAttempts {
+		switch {
+		case command.Kind == reducer.KindStartAttempts:
 			c.starts.add(c.Now(), command.Attempts)
+		case len(command.Listed) > 0:
+			c.starts.addListed(c.Now(), command.Listed)
 		}
 	}
 	result.Revision = e.Index
--- a/internal/coordinator/starts_test.go
+++ b/internal/coordinator/starts_test.go
@@ -38,3 +38,27 @@
 	s.reset(130 * time.Second)
 	check("a snapshot is installed", map[string]time.Duration{"recent": 130 * time.Second, "unknown": 130 * time.Second})
 }
+
+// TestListedAttemptsAreForgottenWithTheStarts guards against a new leader that takes an attempt for
+// listed which no life has listed, or that keeps listed attempts for good.
+func TestListedAttemptsAreForgottenWithTheStarts(t *testing.T) {
+	t.Parallel()
+	attempt := modeler.Attempt{Task: modeler.TaskName{Workflow: "a"}, Session: "w@1", Number: 2}
+	var s startTimes
+	s.reset(100 * time.Second)
+	s.addListed(101*time.Second, []modeler.Attempt{attempt})
+	check := func(when string, a modeler.Attempt, want bool) {
+		t.Helper()
+		if got := s.wasListed()(a); got != want {
+			t.Errorf("%s: attempt %+v was listed: %t, want %t", when, a, got, want)
+		}
+	}
+	check("it is held", attempt, true)
+	check("an earlier attempt", modeler.Attempt{Task: attempt.Task, Session: "w@1", Number: 1}, false)
+	check("on another life", modeler.Attempt{Task: attempt.Task, Session: "w@2", Number: 2}, false)
+	s.addListed(102*time.Second+keepStarts, nil)
+	check("the oldest are dropped", attempt, false)
+	s.addListed(150*time.Second, []modeler.Attempt{attempt})
+	s.reset(151 * time.Second)
+	check("a snapshot is installed", attempt, false)
+}
--- a/internal/delegator/cell_test.go
+++ b/internal/delegator/cell_test.go
@@ -375,6 +375,7 @@
 	c.manager = supervisor.New(supervisor.Options{
 		Calls: c.leader.Calls(), Epoch: epoch, Since: c.now(), LongestLease: 6 * time.Second, Now: c.now, State: c.snapshot,
 		StartedBy: func(modeler.TaskName) time.Duration { return c.now() },
+		WasListed: func(modeler.Attempt) bool { return false },
 		Propose: func(_ context.Context, command reducer.Command) (reducer.Result, error) {
 			time.Sleep(10 * time.Millisecond)
 			if !c.leads(epoch) {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -122,6 +122,8 @@
 	// Longest is the longest lease that a worker which takes its orders by call grants; it
 	// shortens a longer one. Lost work is started again the later the longer it is.
 	Longest time.Duration `ini:"longest"`
+	// LateOrders is how long after it was given up an order to such a worker may be carried out.
+	LateOrders time.Duration `ini:"lateOrders"`
 	// KeepJobs is how long an ended job is kept in the state.
 	KeepJobs time.Duration `ini:"keepJobs"`
 }
@@ -230,6 +232,7 @@
 			RenewInterval:   time.Second,
 			KeepLostWorkers: time.Minute,
 			Longest:         10 * time.Second,
+			LateOrders:      12 * time.Second,
 			KeepJobs:        24 * time.Hour,
 		},
 		Journal:  ControlJournal{SnapshotEvery: 20000, KeepEntries: 5000, ReserveMegabytes: 64},
@@ -271,6 +274,7 @@
 		requireAtLeast("leases", "entry", s.Leases.Entry, time.Second),
 		requireAtLeast("leases", "renew", s.Leases.RenewInterval, 100*time.Millisecond),
 		requireAtLeast("leases", "longest", s.Leases.Longest, 3*time.Second),
+		requireAtLeast("leases", "lateOrders", s.Leases.LateOrders, 0),
 		requireAtLeast("leases", "keepJobs", s.Leases.KeepJobs, time.Minute),
 		requireWithin("journal", "snapshotEvery", s.Journal.SnapshotEvery, 10, 10000000),
 		requireWithin("journal", "keepEntries", s.Journal.KeepEntries, 0, s.Journal.SnapshotEvery),
--- a/internal/reducer/command.go
+++ b/internal/reducer/command.go
@@ -74,6 +74,9 @@
 	Attempts []modeler.Attempt `json:"attempts,omitempty"`
 	// Begins are attempts that workers have confirmed or listed.
 	Begins []modeler.Attempt `json:"begins,omitempty"`
+	// Listed are attempts that the lives for which they were started have listed. They change no
+	// state: members remember them, so that the next leader knows that no other life runs them.
+	Listed []modeler.Attempt `json:"listed,omitempty"`
 	Ends   []AttemptEnd      `json:"ends,omitempty"`
 	// ReportsBegins is true if the leader commits begins, so that an attempt whose begin
 	// is not committed when its session ends is unconfirmed.
--- a/internal/supervisor/batch.go
+++ b/internal/supervisor/batch.go
@@ -19,8 +19,8 @@
 
 // endBatcher commits the ends that many links report. While one command is being
 // committed, it gathers the ends for the next one, so that the number of commands
-// does not grow with the number of workers. Begins go along with the next ends, or are
-// committed at the next beginInterval.
+// does not grow with the number of workers. Begins and listed attempts go along with the next ends,
+// or are committed at the next beginInterval.
 type endBatcher struct {
 	// propose commits a command. Never nil.
 	propose func(ctx context.Context, c reducer.Command) error
@@ -32,6 +32,8 @@
 	waiting []endReport
 	// begins holds a begun attempt for each workflow that the state does not show as begun.
 	begins map[string]modeler.Attempt
+	// listed are the listed attempts for the next commands, oldest first.
+	listed []modeler.Attempt
 }
 
 func newEndBatcher(propose func(ctx context.Context, c reducer.Command) error) *endBatcher {
@@ -72,6 +74,14 @@
 	b.begins[a.Task.Workflow] = a
 }
 
+// addListed adds a listed attempt to one of the next commands. If that is not committed, the next
+// leader does not know of it, and waits longer.
+func (b *endBatcher) addListed(a modeler.Attempt) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.listed = append(b.listed, a)
+}
+
 // run commits reports until the context ends, and passes the result of each commit to
 // its links. It always returns nil.
 func (b *endBatcher) run(ctx context.Context) error {
@@ -79,12 +89,12 @@
 	defer ticker.Stop()
 	for beginsDue := false; ; {
 		batch := b.next()
-		var begins []modeler.Attempt
+		var begins, listed []modeler.Attempt
 		if len(batch) > 0 || beginsDue {
-			begins = b.nextBegins()
+			begins, listed = b.nextBegins(), b.nextListed()
 		}
 		beginsDue = false
-		if len(batch) == 0 && len(begins) == 0 {
+		if len(batch) == 0 && len(begins) == 0 && len(listed) == 0 {
 			select {
 			case <-ctx.Done():
 				return nil
@@ -98,7 +108,7 @@
 		for _, r := range batch {
 			ends = append(ends, r.ends...)
 		}
-		err := b.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Begins: begins, Ends: ends})
+		err := b.propose(ctx, reducer.Command{Kind: reducer.KindEndAttempts, Begins: begins, Listed: listed, Ends: ends})
 		for _, r := range batch {
 			r.committed <- err
 		}
@@ -134,3 +144,13 @@
 	}
 	return begins
 }
+
+// nextListed removes the listed attempts for the next command, at most maxEndsPerCommit.
+func (b *endBatcher) nextListed() []modeler.Attempt {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	count := min(len(b.listed), maxEndsPerCommit)
+	listed := b.listed[:count:count]
+	b.listed = b.listed[count:]
+	return listed
+}
--- a/internal/supervisor/earlierlife_test.go
+++ b/internal/supervisor/earlierlife_test.go
@@ -29,13 +29,18 @@
 	}{
 		"a start":                          {arrives: start},
 		"a start that is carried out late": {arrives: lateStart},
-		"a poll":                           {arrives: poll},
-		"a poll that is carried out late":  {arrivesLate: poll},
+		"a start that is refused for its ticket": {arrives: func(h *harness, o PollOrder) {
+			h.worker.set(func(f *fakeWorker) { f.wantsTicket = true })
+			start(h, o)
+			h.worker.set(func(f *fakeWorker) { f.wantsTicket = false })
+		}},
+		"a poll":                          {arrives: poll},
+		"a poll that is carried out late": {arrivesLate: poll},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			runSupervised(t, func(_ *testing.T, h *harness) {
-				time.Sleep(2 * keepFormer)
+				time.Sleep(2 * h.supervisor.keepFormer())
 				lastPoll := h.worker.leasePoll()
 				later := h.restartWorker()
 				if tt.arrives != nil {
@@ -69,9 +74,15 @@
 		lastPoll := h.worker.leasePoll()
 		h.restartWorker()
 		h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStart()})
-		// The poll is given up 1.2 s after it was sent.
-		time.Sleep(1090 * time.Millisecond)
-		h.worker.pollOnce(lastPoll)
+		// The poll is given up 1.2 s after it was sent, and carried out late.
+		const givenUp = 1090 * time.Millisecond
+		for _, delay := range []time.Duration{5 * time.Second, 10 * time.Second, givenUp + testOrderDelay} {
+			time.AfterFunc(delay, func() { h.worker.pollOnce(lastPoll) })
+		}
+		time.Sleep(10 * time.Millisecond)
+		if !h.worker.runs(onlyTask) {
+			h.t.Fatal("the later life does not run the task")
+		}
 		h.cutOffUntilReleased()
 	})
 }
@@ -128,8 +139,16 @@
 			h.worker.set(func(f *fakeWorker) { f.disconnected = true })
 			h.startLeader(2)
 		},
+		"the leader is lost too, and members have forgotten what was listed": func(h *harness) {
+			h.startNext()
+			time.Sleep(otherLifeTime + 2*testOrderDelay + testLongestLease)
+			h.stop()
+			clear(h.listed)
+			h.worker.set(func(f *fakeWorker) { f.disconnected = true })
+			h.startLeader(2)
+		},
 		"the worker has just started under a new id": func(h *harness) {
-			time.Sleep(2 * keepFormer)
+			time.Sleep(2 * h.supervisor.keepFormer())
 			h.worker.set(func(f *fakeWorker) { f.disconnected = true })
 			time.Sleep(workerLease)
 			h.worker.set(func(f *fakeWorker) {
--- /dev/null
+++ b/internal/supervisor/lateorder_test.go
@@ -0,0 +1,58 @@
+package supervisor
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// testOrderDelay is how long after it was sent the fake worker may carry out an order that got no
+// answer.
+const testOrderDelay = 12 * time.Second
+
+// TestTaskRunsOnceAfterLateOrder guards against a task that is started elsewhere while a later life
+// of its worker, which has answered no poll, may still run it by an order that is carried out late.
+func TestTaskRunsOnceAfterLateOrder(t *testing.T) {
+	tests := map[string]struct {
+		// startDelay is how late the start is carried out, pollDelays how late the earlier life's
+		// last poll is, again and again.
+		startDelay time.Duration
+		pollDelays []time.Duration
+		// isLeaderLost is true if another leader follows before the start is carried out.
+		isLeaderLost bool
+	}{
+		"a start":                       {startDelay: 11 * time.Second},
+		"a start under the next leader": {startDelay: 11 * time.Second, isLeaderLost: true},
+		"polls after a start":           {pollDelays: []time.Duration{5 * time.Second, 10 * time.Second, testOrderDelay}},
+		"polls under the next leader": {
+			// The earlier leader has given up its last poll at the end of maxOrderTime.
+			pollDelays:   []time.Duration{5 * time.Second, 10 * time.Second, maxOrderTime + testOrderDelay - 200*time.Millisecond},
+			isLeaderLost: true,
+		},
+		"a start and the poll before it": {startDelay: 10 * time.Second, pollDelays: []time.Duration{11 * time.Second}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(_ *testing.T, h *harness) {
+				time.Sleep(20 * time.Second)
+				lastPoll := h.worker.leasePoll()
+				h.worker.set(func(f *fakeWorker) { f.delayStarts = tt.startDelay })
+				h.restartWorker()
+				h.supervisor.Start(context.Background(), StartOrder{Attempt: h.commitStart()})
+				time.Sleep(10 * time.Millisecond)
+				for _, delay := range tt.pollDelays {
+					time.AfterFunc(delay, func() { h.worker.pollOnce(lastPoll) })
+				}
+				h.worker.set(func(f *fakeWorker) { f.disconnected = true })
+				if tt.isLeaderLost {
+					h.stop()
+					h.startLeader(2)
+				}
+				h.cutOffUntilReleased()
+				if h.worker.startCount() != 1 {
+					h.t.Errorf("the later life has carried out %d starts, want 1", h.worker.startCount())
+				}
+			})
+		})
+	}
+}
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -115,8 +115,10 @@
 	for _, name := range tasks {
 		w, _ := state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
+		isListed := l.supervisor.options.WasListed(modeler.Attempt{Task: name, Session: l.session.Key(), Number: task.Attempt})
 		l.orders[name] = &order{
 			number: task.Attempt, phase: orderInherited, isInherited: true, sentAt: l.supervisor.options.StartedBy(name),
+			isListed: isListed, isReported: isListed, hasBegun: isListed,
 		}
 	}
 	return l
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -10,6 +10,10 @@
 	"github.com/samphirewick/samphirewick/internal/reducer"
 )
 
+// minReportAge is the age from which on members are told that an attempt was listed. Many tasks
+// have ended by then.
+const minReportAge = time.Second
+
 // observation is an answered poll together with the state read after the answer.
 type observation struct {
 	result PollResult
@@ -148,6 +152,10 @@
 		return
 	}
 	o.isListed, o.hasBegun = true, true
+	if !o.isReported && l.now()-o.sentAt >= minReportAge {
+		o.isReported = true
+		l.supervisor.ends.addListed(a)
+	}
 	if o.phase == orderUnconfirmed || o.phase == orderInherited {
 		o.phase = orderStarted
 		o.since = l.now()
--- a/internal/supervisor/order.go
+++ b/internal/supervisor/order.go
@@ -36,7 +36,10 @@
 	isInherited bool
 	// hasBegun is true once the worker has confirmed the start or has listed the attempt.
 	hasBegun bool
-	// isListed is true once the session's life has listed the attempt as running.
-	isListed   bool
+	// isListed is true once the session's life has listed the attempt as running, to this leader
+	// or an earlier one.
+	isListed bool
+	// isReported is true once members were told that it has.
+	isReported bool
 	checkpoint string
 }
--- a/internal/supervisor/replacement_test.go
+++ b/internal/supervisor/replacement_test.go
@@ -61,7 +61,7 @@
 						t.Fatal(err)
 					}
 				}
-				for range 4000 {
+				for end := time.Now().Add(h.longestHold()); time.Now().Before(end); {
 					if !h.task().HoldsResources() && h.worker.runs(onlyTask) {
 						t.Fatal("attempt was committed as ended while the worker ran it")
 					}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -145,11 +145,16 @@
 	// LongestLease is the longest lease that a worker grants, on its own clock; it shortens a
 	// longer one. At least workerLease.
 	LongestLease time.Duration
+	// OrderDelay is how long after it was given up an order that got no answer may be carried out.
+	OrderDelay time.Duration
 	// Now is a clock that keeps running while the machine is suspended. Never nil.
 	Now func() time.Duration
 	// StartedBy returns the time, by Now, by which the last start of a task had been committed,
 	// for tasks that were started under earlier leaders. Never nil.
 	StartedBy func(name modeler.TaskName) time.Duration
+	// WasListed reports whether an earlier leader has committed that the life for which the attempt
+	// was started had listed it. Never nil.
+	WasListed func(a modeler.Attempt) bool
 	// State returns the latest applied state. Never nil.
 	State func() reducer.State
 	// Propose commits a command. Never nil.
@@ -187,10 +192,6 @@
 // commit takes about a fifth of it.
 const pendingWait = 50 * time.Millisecond
 
-// keepFormer is how long after the end of a session orders for its worker may be carried out.
-// Workers of the platform carry out an order that got no answer up to 12 s later.
-const keepFormer = 30 * time.Second
-
 // addedCapacity bounds the sessions that wait for Run to start their goroutine.
 const addedCapacity = 8192
 
@@ -268,7 +269,7 @@
 func (s *Supervisor) dropLocked(l *link) {
 	now := s.options.Now()
 	delete(s.links, l.session.Key())
-	maps.DeleteFunc(s.former, func(_ string, dropped time.Duration) bool { return now-dropped > keepFormer })
+	maps.DeleteFunc(s.former, func(_ string, dropped time.Duration) bool { return now-dropped > s.keepFormer() })
 	s.former[l.session.Worker] = now
 }
 
@@ -276,7 +277,7 @@
 // carried out. The caller holds the mutex.
 func (s *Supervisor) hasEarlierLifeLocked(worker string) bool {
 	now := s.options.Now()
-	if dropped, ok := s.former[worker]; ok && now-dropped <= keepFormer {
+	if dropped, ok := s.former[worker]; ok && now-dropped <= s.keepFormer() {
 		return true
 	}
 	for _, l := range s.links {
@@ -284,7 +285,7 @@
 			return true
 		}
 	}
-	return now-s.options.Since <= keepFormer
+	return now-s.options.Since <= s.keepFormer()
 }
 
 // pollWait returns how long a worker may hold the answer to a poll, so that all
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -143,6 +143,8 @@
 
 func TestLeaseExpiresAtWorkerFirst(t *testing.T) {
 	runSupervised(t, func(t *testing.T, h *harness) {
+		// No order for another life can have set a lease any more.
+		time.Sleep(2 * testLongestLease)
 		h.startNext()
 		time.Sleep(2500 * time.Millisecond)
 		h.worker.set(func(f *fakeWorker) { f.disconnected = true })
@@ -209,7 +211,7 @@
 				h.worker.set(func(f *fakeWorker) { f.disconnected = tt.disconnected })
 				h.stop()
 				h.startLeader(2)
-				for end := time.Now().Add(maxOrderTime + h.supervisor.longestLease() + time.Second); time.Now().Before(end); {
+				for end := time.Now().Add(h.longestHold()); time.Now().Before(end); {
 					time.Sleep(5 * time.Millisecond)
 					if !h.task().HoldsResources() && h.worker.runs(onlyTask) {
 						t.Fatal("attempt was committed as ended while the worker ran it")
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -46,9 +46,15 @@
 	garbled bool
 	// full makes the worker refuse starts with ResultFull.
 	full bool
+	// wantsTicket makes the worker refuse starts with ResultNoTicket, which set its lease all the same.
+	wantsTicket bool
 	// delayStarts makes starts take effect after the delay, without an answer; zero
 	// for no delay.
 	delayStarts time.Duration
+	// frozenFor is how long the process of the leader stands still before it sends a start.
+	frozenFor time.Duration
+	// callerNow is the leader's clock.
+	callerNow func() time.Duration
 }
 
 func newFakeWorker(session modeler.Session) *fakeWorker {
@@ -179,6 +185,9 @@
 	case f.full:
 		f.extendLease(o.Deadline)
 		return ResultFull
+	case f.wantsTicket:
+		f.extendLease(o.Deadline)
+		return ResultNoTicket
 	case o.Attempt.Number <= f.fenced[o.Attempt.Task]:
 		f.extendLease(o.Deadline)
 		return ResultStale
@@ -194,8 +203,11 @@
 
 func (f *fakeWorker) start(ctx context.Context, o StartOrder) (StartResult, error) {
 	f.mutex.Lock()
-	disconnected, lose, delay := f.disconnected, f.loseStartAnswers, f.delayStarts
+	disconnected, lose, delay, frozenFor := f.disconnected, f.loseStartAnswers, f.delayStarts, f.frozenFor
 	f.mutex.Unlock()
+	if frozenFor > 0 {
+		return f.startFrozen(ctx, o, frozenFor)
+	}
 	if delay > 0 {
 		time.AfterFunc(delay, func() { f.acceptStart(o) })
 	}
@@ -211,6 +223,16 @@
 	return result, nil
 }
 
+// startFrozen carries out a start that the frozen leader sends after the time, unless the context
+// tells it not to.
+func (f *fakeWorker) startFrozen(ctx context.Context, o StartOrder, frozenFor time.Duration) (StartResult, error) {
+	time.Sleep(frozenFor)
+	if by, ok := SendBy(ctx); ok && f.callerNow() > by {
+		return "", ErrNotSent
+	}
+	return f.acceptStart(o), nil
+}
+
 func (f *fakeWorker) stop(ctx context.Context, o StopOrder) error {
 	if f.isDisconnected() {
 		<-ctx.Done()
@@ -298,6 +320,8 @@
 	supervisor *Supervisor
 	// startedAt is when the last start of each task was applied.
 	startedAt map[modeler.TaskName]time.Duration
+	// listed are the attempts that leaders have committed as listed.
+	listed map[modeler.Attempt]bool
 	// answerPace answers a pace order.
 	answerPace func(ctx context.Context) error
 	stop       func()
@@ -312,12 +336,14 @@
 	t.Helper()
 	h := &harness{
 		t: t, state: reducer.NewState(), isLeader: true, began: time.Now(), startedAt: map[modeler.TaskName]time.Duration{},
+		listed: map[modeler.Attempt]bool{},
 	}
 	h.answerPace = func(context.Context) error { return nil }
 	session := modeler.Session{
 		Worker: "w0", StartedAtMillis: 1, Address: "w0:1", Service: "planner", Capacity: modeler.Resources{Processors: 10},
 	}
 	h.worker = newFakeWorker(session)
+	h.worker.callerNow = h.now
 	h.apply(reducer.Command{Kind: reducer.KindApplyQueueTable, Table: &modeler.QueueTable{
 		Version: 1, Pools: []modeler.Pool{{Name: "planner"}},
 		Queues: []modeler.Queue{{Name: "q", Host: "h", Prefix: "/", Service: "planner", MaxAttempts: 3, Timeout: 1}},
@@ -339,6 +365,9 @@
 	for _, a := range c.Attempts {
 		h.startedAt[a.Task] = h.now()
 	}
+	for _, a := range c.Listed {
+		h.listed[a] = true
+	}
 	h.state, result, _ = reducer.Apply(h.state, h.state.Revision+1, c)
 	return result
 }
@@ -375,8 +404,9 @@
 				return h.worker.poll(ctx, o)
 			},
 		},
-		Epoch: epoch, Since: h.now(), LongestLease: testLongestLease, Now: h.now, State: h.snapshot,
+		Epoch: epoch, Since: h.now(), LongestLease: testLongestLease, OrderDelay: testOrderDelay, Now: h.now, State: h.snapshot,
 		StartedBy: func(name modeler.TaskName) time.Duration { return h.startedAt[name] },
+		WasListed: func(a modeler.Attempt) bool { return h.listed[a] },
 		Propose: func(_ context.Context, c reducer.Command) (reducer.Result, error) {
 			time.Sleep(10 * time.Millisecond)
 			return h.apply(c), nil
@@ -452,7 +482,7 @@
 	h.t.Helper()
 	h.worker.set(func(f *fakeWorker) { f.disconnected = true })
 	held := time.Duration(0)
-	for began := time.Now(); time.Since(began) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
+	for began := time.Now(); time.Since(began) < h.longestHold(); time.Sleep(5 * time.Millisecond) {
 		if h.task().HoldsResources() {
 			held = time.Since(began)
 		} else if h.worker.runs(onlyTask) {
@@ -465,6 +495,12 @@
 	return held
 }
 
+// longestHold returns the longest time for which the state holds an attempt on a worker that does
+// not answer: the last order for it is given up, is carried out late, and sets the longest lease.
+func (h *harness) longestHold() time.Duration {
+	return maxOrderTime + testOrderDelay + h.supervisor.longestLease() + lostPollDelay
+}
+
 func (h *harness) task() modeler.WorkflowTask {
 	w, _ := h.snapshot().Workflows.Get("job")
 	task, _ := w.Task(onlyTask)
