--- a/internal/delegator/delegator.go
+++ b/internal/delegator/delegator.go
@@ -78,8 +78,6 @@
 	started chan *line
 
 	lastID, exchanges, calls, failures atomic.Uint64
-	// isBounded is true while workers are delegated, so that others have two connections each.
-	isBounded atomic.Bool
 
 	mutex    sync.Mutex
 	assigner *assigner.Assigner
@@ -168,7 +166,6 @@
 	d.assigner.Update(workers, usable)
 	delegated := d.assigner.Delegated()
 	isBounded := len(workers) > d.options.Capacity
-	d.isBounded.Store(isBounded)
 	d.options.SetBounded(isBounded)
 	if delegated != d.reported {
 		d.options.Log.Info("workers delegated", zap.Int("workers", len(workers)), zap.Int("delegated", delegated),
@@ -225,19 +222,10 @@
 		zap.Int("delegatedBefore", before), zap.Int("delegated", d.assigner.Delegated()), zap.Error(cause))
 }
 
-// directContext bounds when a call of the leader itself may leave the process, where it may have to
-// wait for the only connection.
-func (d *Delegator) directContext(ctx context.Context) context.Context {
-	if deadline, ok := ctx.Deadline(); ok && d.isBounded.Load() {
-		return supervisor.WithSendBy(ctx, d.options.Now()+time.Until(deadline))
-	}
-	return ctx
-}
-
 func (d *Delegator) start(ctx context.Context, s modeler.Session, o supervisor.StartOrder) (supervisor.StartResult, error) {
 	l := d.lineOf(s)
 	if l == nil {
-		return d.options.Direct.Start(d.directContext(ctx), s, o)
+		return d.options.Direct.Start(ctx, s, o)
 	}
 	_, result, err := l.do(ctx, s, messenger.CallOrder{Start: messenger.NewStartCall(o), Fence: o.Fence, Urgent: true})
 	if err != nil {
@@ -249,7 +237,7 @@
 func (d *Delegator) stop(ctx context.Context, s modeler.Session, o supervisor.StopOrder) error {
 	l := d.lineOf(s)
 	if l == nil {
-		return d.options.Direct.Stop(d.directContext(ctx), s, o)
+		return d.options.Direct.Stop(ctx, s, o)
 	}
 	call := messenger.AttemptCall{Task: o.Attempt.Task, Number: o.Attempt.Number}
 	_, result, err := l.do(ctx, s, messenger.CallOrder{Stop: &call, Fence: o.Fence, Urgent: true})
@@ -259,7 +247,7 @@
 func (d *Delegator) pace(ctx context.Context, s modeler.Session, o supervisor.PaceOrder) error {
 	l := d.lineOf(s)
 	if l == nil {
-		return d.options.Direct.Pace(d.directContext(ctx), s, o)
+		return d.options.Direct.Pace(ctx, s, o)
 	}
 	call := messenger.AttemptCall{Task: o.Attempt.Task, Number: o.Attempt.Number, Percent: o.Percent}
 	_, result, err := l.do(ctx, s, messenger.CallOrder{Pace: &call, Fence: o.Fence, Urgent: true})
@@ -269,7 +257,7 @@
 func (d *Delegator) poll(ctx context.Context, s modeler.Session, o supervisor.PollOrder) (supervisor.PollResult, error) {
 	l := d.lineOf(s)
 	if l == nil {
-		return d.options.Direct.Poll(d.directContext(ctx), s, o)
+		return d.options.Direct.Poll(ctx, s, o)
 	}
 	known := d.baseOf(s)
 	if known.life != l.currentLife() {
--- a/internal/delegator/delegator_test.go
+++ b/internal/delegator/delegator_test.go
@@ -171,3 +171,18 @@
 		c.check(60)
 	})
 }
+
+// TestNoDelegatedOrderLeavesAfterItsTime guards against an order of a leader that stood still: the
+// time-out of its call goes on while the time until which it may be sent has passed.
+func TestNoDelegatedOrderLeavesAfterItsTime(t *testing.T) {
+	runCell(t, 60, 10, func(t *testing.T, c *cell) {
+		session, _ := c.snapshot().Sessions.Get(modeler.SessionKey("w059", 1))
+		ctx, cancel := context.WithTimeout(supervisor.WithSendBy(t.Context(), c.now()-time.Millisecond), 300*time.Millisecond)
+		defer cancel()
+		order := supervisor.StopOrder{Attempt: modeler.Attempt{Task: modeler.TaskName{Workflow: "w059"}, Number: 1}, Fence: 1}
+		if err := c.leader.Calls().Stop(ctx, session, order); !errors.Is(err, supervisor.ErrNotSent) {
+			t.Errorf("the stop ended with %v", err)
+		}
+		c.check(60)
+	})
+}
--- a/internal/delegator/line.go
+++ b/internal/delegator/line.go
@@ -93,7 +93,11 @@
 		return "", messenger.CallResult{}, fmt.Errorf("%w: %w", supervisor.ErrNotSent, err)
 	}
 	now := d.options.Now()
-	c := &call{order: o, queued: now, expires: now + time.Until(deadline), outcome: make(chan outcome, 1)}
+	expires := now + time.Until(deadline)
+	if by, ok := supervisor.SendBy(ctx); ok {
+		expires = min(expires, by)
+	}
+	c := &call{order: o, queued: now, expires: expires, outcome: make(chan outcome, 1)}
 	l.mutex.Lock()
 	if len(l.queue) >= maxQueued {
 		l.mutex.Unlock()
--- a/internal/supervisor/lateorder_test.go
+++ b/internal/supervisor/lateorder_test.go
@@ -56,3 +56,27 @@
 		})
 	}
 }
+
+// TestFrozenLeaderSendsNoOrder guards against a leader that was frozen while it sent an order, and
+// sends it when it wakes: the worker has started again meanwhile, and the next leader has ended the
+// attempt.
+func TestFrozenLeaderSendsNoOrder(t *testing.T) {
+	runSupervised(t, func(t *testing.T, h *harness) {
+		time.Sleep(time.Minute)
+		h.worker.set(func(f *fakeWorker) { f.frozenFor = 25 * time.Second })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		h.supervisor.Start(ctx, StartOrder{Attempt: h.commitStart()})
+		time.Sleep(10 * time.Millisecond)
+		h.worker.set(func(f *fakeWorker) { f.frozenFor, f.disconnected = 0, true; f.startAgain() })
+		h.setIsLeader(false)
+		h.stop()
+		h.setIsLeader(true)
+		h.startLeader(2)
+		h.cutOffUntilReleased()
+		time.Sleep(20 * time.Second)
+		if h.worker.startCount() != 0 {
+			t.Errorf("the later life has carried out %d starts of the frozen leader, want none", h.worker.startCount())
+		}
+	})
+}
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -55,6 +55,9 @@
 	proposeTimeout = 2 * time.Second
 )
 
+// errUnconfirmed reports that a poll was not sent, since the leadership is no longer confirmed.
+var errUnconfirmed = errors.New("leadership is not confirmed")
+
 // link is the leader's connection to one session.
 type link struct {
 	supervisor *Supervisor
@@ -169,6 +172,8 @@
 		case errors.Is(err, ErrOtherIncarnation):
 			// Another worker is at the address, which refuses all orders to this one.
 			l.endSession(ctx, err)
+		case errors.Is(err, errUnconfirmed):
+			waitToRetry(ctx)
 		case errors.Is(err, errInterrupted):
 			l.markUnresponsive()
 		default:
@@ -205,8 +210,11 @@
 	l.cancelPoll = interrupt
 	l.mutex.Unlock()
 	defer interrupt(nil)
-	bounded, cancel := context.WithTimeout(interruptible, o.Wait+pollGrace)
+	bounded, cancel := withTimeout(interruptible, sent, o.Wait+pollGrace)
 	defer cancel()
+	if !l.supervisor.options.Confirm() {
+		return sent, PollResult{}, errUnconfirmed
+	}
 	result, err := l.supervisor.options.Calls.Poll(bounded, session, o)
 	if err != nil && errors.Is(context.Cause(interruptible), errInterrupted) {
 		err = errInterrupted
@@ -257,25 +265,25 @@
 		return
 	}
 	l.mutex.Lock()
-	blocked := l.startsBlocked
+	blocked, sent := l.startsBlocked, l.now()
 	o.Fence = l.fence
-	o.Deadline = l.clock.earliestAt(l.now()) + startWindow
+	o.Deadline = l.clock.earliestAt(sent) + startWindow
 	if !blocked {
 		l.deadline = max(l.deadline, o.Deadline)
-		l.leaseOrdersEnd = max(l.leaseOrdersEnd, l.now()+callTimeout)
-		l.recordSentLocked(o.Attempt)
+		l.leaseOrdersEnd = max(l.leaseOrdersEnd, sent+callTimeout)
+		l.recordSentLocked(o.Attempt, sent)
 	}
 	l.mutex.Unlock()
 	if blocked {
 		l.commitNotRun(ctx, o.Attempt, "worker is unreachable")
 		return
 	}
+	bounded, cancel := withTimeout(ctx, sent, callTimeout)
+	defer cancel()
 	if !l.supervisor.options.Confirm() {
 		l.setPhase(o.Attempt, orderUnconfirmed)
 		return
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	result, err := l.supervisor.options.Calls.Start(bounded, l.current(), o)
 	switch {
 	case errors.Is(err, ErrNotSent), errors.Is(err, ErrOtherIncarnation):
@@ -292,10 +300,10 @@
 	}
 }
 
-// recordSentLocked records that the start is sent now. The caller holds the mutex.
-func (l *link) recordSentLocked(a modeler.Attempt) {
+// recordSentLocked records when the start is sent. The caller holds the mutex.
+func (l *link) recordSentLocked(a modeler.Attempt, sent time.Duration) {
 	if o, ok := l.orders[a.Task]; ok && o.number == a.Number {
-		o.sentAt = l.now()
+		o.sentAt = sent
 	}
 }
 
@@ -361,12 +369,12 @@
 // stop tells the worker to stop the attempt. Once the worker has answered, an
 // unconfirmed start order can no longer be carried out, so it counts as fenced.
 func (l *link) stop(ctx context.Context, a modeler.Attempt) {
+	sent := l.now()
+	bounded, cancel := withTimeout(ctx, sent, callTimeout)
+	defer cancel()
 	if !l.supervisor.options.Confirm() {
 		return
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	sent := l.now()
 	err := l.supervisor.options.Calls.Stop(bounded, l.current(), StopOrder{Attempt: a, Fence: l.fence})
 	if err != nil {
 		l.log().Info("stop call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
@@ -387,11 +395,11 @@
 // pace sets the pace of an attempt on the worker, and reports whether the worker has
 // confirmed it.
 func (l *link) pace(ctx context.Context, a modeler.Attempt, percent int) bool {
+	bounded, cancel := withTimeout(ctx, l.now(), callTimeout)
+	defer cancel()
 	if !l.supervisor.options.Confirm() {
 		return false
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	o := PaceOrder{Attempt: a, Fence: l.fence, Percent: percent}
 	if err := l.supervisor.options.Calls.Pace(bounded, l.current(), o); err != nil {
 		l.log().Info("pace call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
