--- a/internal/supervisor/lateorder_test.go
+++ b/internal/supervisor/lateorder_test.go
@@ -57,6 +57,76 @@
 	}
 }
 
+// TestTaskRunsOnceAfterStoppedStart guards against a task that is started elsewhere once its worker has
+// stopped a start that got no answer: a later life of the worker, which knows of no stop, may
+// still carry the start out.
+func TestTaskRunsOnceAfterStoppedStart(t *testing.T) {
+	tests := map[string]struct {
+		// isLeaderLost is true if another leader follows right after the start.
+		isLeaderLost bool
+	}{
+		"the leader stops it":              {},
+		"the next leader knows nothing of": {isLeaderLost: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(_ *testing.T, h *harness) {
+				time.Sleep(time.Minute)
+				h.worker.set(func(f *fakeWorker) { f.delayStarts = 11 * time.Second })
+				ctx, cancel := context.WithCancel(h.t.Context())
+				defer cancel()
+				h.supervisor.Start(ctx, StartOrder{Attempt: h.commitStart()})
+				time.Sleep(10 * time.Millisecond)
+				if tt.isLeaderLost {
+					h.stop()
+					h.startLeader(2)
+				}
+				polls := h.worker.pollCount()
+				time.Sleep(5 * time.Second)
+				if polls = h.worker.pollCount() - polls; polls > 25 {
+					h.t.Errorf("%d polls in 5 s while the start is waited for, want few", polls)
+				}
+				h.restartWorker()
+				h.cutOffUntilReleased()
+				if h.worker.startCount() != 1 {
+					h.t.Errorf("the later life has carried out %d starts, want 1", h.worker.startCount())
+				}
+			})
+		})
+	}
+}
+
+// TestStoppedStartIsReleasedSoon guards against tasks that wait for a late start which no later life
+// can carry out, and against tasks that wait for good.
+func TestStoppedStartIsReleasedSoon(t *testing.T) {
+	tests := map[string]struct {
+		ticket  string
+		longest time.Duration
+	}{
+		"the start has a ticket": {ticket: "k", longest: time.Second},
+		"the start has none":     {longest: maxStartTime + testOrderDelay + maxOrderTime},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(t *testing.T, h *harness) {
+				time.Sleep(time.Minute)
+				h.worker.set(func(f *fakeWorker) { f.delayStarts = 11 * time.Second })
+				h.supervisor.Start(t.Context(), StartOrder{Attempt: h.commitStart(), Ticket: tt.ticket})
+				began := time.Now()
+				for h.task().HoldsResources() && time.Since(began) < time.Minute {
+					time.Sleep(5 * time.Millisecond)
+				}
+				if held := time.Since(began); held > tt.longest {
+					t.Errorf("the task was held for %v, want at most %v", held, tt.longest)
+				}
+				if h.worker.startCount() != 0 {
+					t.Error("the start was carried out after it had been stopped")
+				}
+			})
+		})
+	}
+}
+
 // TestFrozenLeaderSendsNoOrder guards against a leader that was frozen while it sent an order, and
 // sends it when it wakes: the worker has started again meanwhile, and the next leader has ended the
 // attempt.
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -118,10 +118,11 @@
 	for _, name := range tasks {
 		w, _ := state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
+		queue, _ := state.QueueTable.Queue(w.Spec.Queue)
 		isListed := l.supervisor.options.WasListed(modeler.Attempt{Task: name, Session: l.session.Key(), Number: task.Attempt})
 		l.orders[name] = &order{
 			number: task.Attempt, phase: orderInherited, isInherited: true, sentAt: l.supervisor.options.StartedBy(name),
-			isListed: isListed, isReported: isListed, hasBegun: isListed,
+			hasTicket: queue.Permit != nil, isListed: isListed, isReported: isListed, hasBegun: isListed,
 		}
 	}
 	return l
@@ -226,8 +227,14 @@
 // The caller holds the mutex.
 func (l *link) waitLocked() time.Duration {
 	for _, o := range l.orders {
-		if o.phase == orderUnconfirmed || o.phase == orderFenced || o.phase == orderInherited {
+		switch o.phase {
+		case orderUnconfirmed:
 			return shortPollWait
+		case orderFenced, orderInherited:
+			if !l.mayStartLaterLocked(o) {
+				return shortPollWait
+			}
+		default:
 		}
 	}
 	return l.supervisor.pollWait()
@@ -253,7 +260,7 @@
 		return false
 	}
 	l.orders[o.Attempt.Task] = &order{
-		number: o.Attempt.Number, phase: orderSending, since: l.now(), sentAt: l.now(),
+		number: o.Attempt.Number, phase: orderSending, since: l.now(), sentAt: l.now(), hasTicket: o.Ticket != "",
 	}
 	return true
 }
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -182,14 +182,14 @@
 		l.mutex.Unlock()
 		return "", false
 	}
-	phase, since := o.phase, o.since
+	phase, since, mayStartLater := o.phase, o.since, l.mayStartLaterLocked(o)
 	l.mutex.Unlock()
 	switch phase {
 	case orderInherited:
 		// The poll fenced the earlier leader before the worker answered it.
-		return reducer.AttemptRefused, true
+		return reducer.AttemptRefused, !mayStartLater
 	case orderFenced:
-		return reducer.AttemptRefused, obs.sent > since
+		return reducer.AttemptRefused, obs.sent > since && !mayStartLater
 	case orderStarted:
 		return l.lapsedOutcome(a), obs.sent > since
 	case orderUnconfirmed:
--- a/internal/supervisor/order.go
+++ b/internal/supervisor/order.go
@@ -32,6 +32,8 @@
 	// sentAt is when the start was sent last, or at the latest when the order was recorded. Of
 	// an inherited order it is when the start was committed at the latest.
 	sentAt time.Duration
+	// hasTicket is true if the start carries a permit, which is valid in one life of the worker.
+	hasTicket bool
 	// isInherited is true if an earlier leader has committed the start.
 	isInherited bool
 	// hasBegun is true once the worker has confirmed the start or has listed the attempt.
