--- a/internal/supervisor/earlierlife_test.go
+++ b/internal/supervisor/earlierlife_test.go
@@ -179,24 +179,37 @@
 	}
 }
 
+// firstTask is the only task of another workflow than that of onlyTask.
+var firstTask = modeler.TaskName{Workflow: "first"}
+
+// startFirst starts firstTask.
+func (h *harness) startFirst() {
+	h.apply(reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &modeler.WorkflowSpec{
+		ID: "first", Queue: "q", Steps: []modeler.StepSpec{{Count: 1, Need: modeler.Resources{Processors: 1}}},
+	}})
+	first := modeler.Attempt{Task: firstTask, Session: onlySession, Number: 1}
+	time.Sleep(100 * time.Millisecond)
+	h.apply(reducer.Command{Kind: reducer.KindStartAttempts, Attempts: []modeler.Attempt{first}})
+	h.supervisor.Start(h.t.Context(), StartOrder{Attempt: first})
+	time.Sleep(time.Second)
+}
+
+// finishFirst finishes firstTask, whose end is then acknowledged.
+func (h *harness) finishFirst() {
+	h.worker.finish(firstTask)
+	time.Sleep(time.Second)
+	if h.worker.ackPoll().AckedPosition == 0 {
+		h.t.Fatal("the end of the first task was not acknowledged")
+	}
+}
+
 // TestLatePollForEarlierLifeDropsNoEnd guards against a late poll for an earlier life that
 // acknowledges an end of the later one: the task had finished, and was run again.
 func TestLatePollForEarlierLifeDropsNoEnd(t *testing.T) {
 	runSupervised(t, func(t *testing.T, h *harness) {
-		h.apply(reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &modeler.WorkflowSpec{
-			ID: "first", Queue: "q", Steps: []modeler.StepSpec{{Count: 1, Need: modeler.Resources{Processors: 1}}},
-		}})
-		first := modeler.Attempt{Task: modeler.TaskName{Workflow: "first"}, Session: onlySession, Number: 1}
-		time.Sleep(100 * time.Millisecond)
-		h.apply(reducer.Command{Kind: reducer.KindStartAttempts, Attempts: []modeler.Attempt{first}})
-		h.supervisor.Start(context.Background(), StartOrder{Attempt: first})
-		time.Sleep(100 * time.Millisecond)
-		h.worker.finish(first.Task)
-		time.Sleep(time.Second)
-		late := h.worker.leasePoll()
-		if late.AckedPosition == 0 {
-			t.Fatal("the earlier life's end was not acknowledged")
-		}
+		h.startFirst()
+		h.finishFirst()
+		late := h.worker.ackPoll()
 		later := h.restartWorker()
 		h.announceLaterLife()
 		time.Sleep(300 * time.Millisecond)
@@ -211,6 +224,68 @@
 	})
 }
 
+// TestLatePollDropsNoEndOfLateStart guards against a late poll for an earlier life that acknowledges an
+// end of the later one, which has answered no poll: the task had finished, and was run again.
+func TestLatePollDropsNoEndOfLateStart(t *testing.T) {
+	tests := map[string]struct {
+		// endsAfter is how long after the start's call an end of another task is to be acknowledged;
+		// zero if it was before the start.
+		endsAfter time.Duration
+	}{
+		"the poll was sent before the start":          {},
+		"the poll was sent while the start was sent":  {endsAfter: 50 * time.Millisecond},
+		"the poll was sent once the start had failed": {endsAfter: callTimeout + time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(t *testing.T, h *harness) {
+				h.startFirst()
+				if tt.endsAfter == 0 {
+					h.finishFirst()
+				}
+				h.worker.set(func(f *fakeWorker) { f.delayStarts = time.Second })
+				h.supervisor.Start(t.Context(), StartOrder{Attempt: h.commitStart()})
+				time.Sleep(max(tt.endsAfter, time.Millisecond))
+				if tt.endsAfter > 0 {
+					h.worker.finish(firstTask)
+					time.Sleep(20 * time.Millisecond)
+				}
+				late := h.worker.ackPoll()
+				h.restartWorker()
+				h.worker.set(func(f *fakeWorker) { f.disconnected = true })
+				time.Sleep(1100 * time.Millisecond)
+				h.worker.finish(onlyTask)
+				h.worker.pollOnce(late)
+				h.worker.set(func(f *fakeWorker) { f.disconnected = false })
+				time.Sleep(20 * time.Second)
+				if h.worker.startCount() != 2 || !h.hasFinished() {
+					t.Errorf("task is %+v after %d starts, want its workflow finished after 2", h.task(), h.worker.startCount())
+				}
+			})
+		})
+	}
+}
+
+// TestEndsAreAcknowledgedBesideStarts guards against ends that a worker lists for good, and against polls
+// that follow each other without a pause, while its starts get no answer.
+func TestEndsAreAcknowledgedBesideStarts(t *testing.T) {
+	runSupervised(t, func(t *testing.T, h *harness) {
+		h.startFirst()
+		h.worker.set(func(f *fakeWorker) { f.delayStarts = time.Hour })
+		h.supervisor.Start(t.Context(), StartOrder{Attempt: h.commitStart(), Ticket: "k"})
+		polls := h.worker.pollCount()
+		h.worker.finish(firstTask)
+		time.Sleep(callTimeout)
+		if polls = h.worker.pollCount() - polls; polls > 5 {
+			t.Errorf("%d polls while a start got no answer, want one each %v", polls, pollRetryDelay)
+		}
+		time.Sleep(time.Second)
+		if unacknowledged := h.worker.unacknowledgedEnds(); unacknowledged > 0 {
+			t.Errorf("%d ends are not acknowledged a second after the start was given up", unacknowledged)
+		}
+	})
+}
+
 // TestWorkerFenceIsAcceptedByWorker guards against an announcement that is refused for good, since
 // the worker has seen a higher fence than that of the poll that asks it for its life.
 func TestWorkerFenceIsAcceptedByWorker(t *testing.T) {
--- a/internal/supervisor/fence.go
+++ b/internal/supervisor/fence.go
@@ -1,17 +1,19 @@
 package supervisor
 
-// lifeBits is the number of low bits of a fence that hold the life. They leave 29 bits for the
-// term, as the platform's JSON holds integers up to 2^53 exactly.
-const lifeBits = 24
+// sequenceBits is the number of low bits of a fence that hold its number within the term. They leave
+// 21 bits for the term, as the platform's JSON holds integers up to 2^53 exactly.
+const sequenceBits = 32
 
-const maxLife = 1<<lifeBits - 1
+const maxSequence = 1<<sequenceBits - 1
 
-// Fence returns the fence of the orders that the leader of the term sends to a session. life
-// orders the sessions of the leadership; beyond maxLife, sessions share a fence. A worker that
-// has seen a higher fence carries out no order, so that once it has answered a poll for its
-// session, neither orders of earlier leaders nor those for its earlier lives have an effect. Its
-// id and address don't tell its lives apart.
-func Fence(term, life uint64) uint64 { return term<<lifeBits | min(life, maxLife) }
+// Fence returns the fence with the number among those of the leader of the term. Beyond maxSequence,
+// fences are the same. A worker that has seen a higher fence carries out no order. So once it has
+// answered a poll for its session, neither orders of earlier leaders nor those for its earlier lives
+// have an effect; its id and address don't tell its lives apart.
+func Fence(term, sequence uint64) uint64 { return term<<sequenceBits | min(sequence, maxSequence) }
+
+// nextFence returns a fence that is higher than all others of this leader so far.
+func (s *Supervisor) nextFence() uint64 { return Fence(s.options.Epoch, s.fences.Add(1)) }
 
 // WorkerFence returns a fence that the worker accepts and that outranks no order to its present
 // session: the one of that session, or if it has none, the highest fence in use.
@@ -21,11 +23,44 @@
 	fence := uint64(0)
 	for _, l := range s.links {
 		if l.session.Worker == worker {
-			fence = max(fence, l.fence)
+			fence = max(fence, l.fence.Load())
 		}
 	}
 	if fence == 0 {
-		return Fence(s.options.Epoch, s.lives)
+		return Fence(s.options.Epoch, s.fences.Load())
 	}
 	return fence
 }
+
+// fenceStartLocked returns the fence of a start. It is higher than that of a poll that acknowledges ends: a
+// later life that carries out the start, and the poll after it, would drop ends that nobody has
+// read. The caller holds the mutex.
+func (l *link) fenceStartLocked() uint64 {
+	if l.hasAcknowledged {
+		l.hasAcknowledged = false
+		l.fence.Store(l.supervisor.nextFence())
+	}
+	return l.fence.Load()
+}
+
+// ackLocked returns the position up to which the next poll acknowledges ends: zero while a start
+// that was sent may run on a later life, whose ends the poll would drop. The caller holds the mutex.
+func (l *link) ackLocked() uint64 {
+	l.withholdsAck = l.ackedPosition > l.confirmedPosition && l.hasUnlistedLocked()
+	if l.withholdsAck || l.ackedPosition == l.confirmedPosition {
+		return 0
+	}
+	l.hasAcknowledged = true
+	return l.ackedPosition
+}
+
+// hasUnlistedLocked reports whether a start was or may be sent that the session's life has not
+// listed, and that a later life may carry out. The caller holds the mutex.
+func (l *link) hasUnlistedLocked() bool {
+	for _, o := range l.orders {
+		if !o.isListed && !(o.phase == orderFenced && o.hasTicket) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,8 +63,8 @@
 type link struct {
 	supervisor *Supervisor
 	session    modeler.Session
-	// fence is the fence of all orders to the session.
-	fence uint64
+	// fence is the fence of the next order to the session. It never decreases.
+	fence atomic.Uint64
 	// hasEarlierLife is true if orders for an earlier life of the worker, or of an earlier
 	// leader, may be carried out before the first answer.
 	hasEarlierLife bool
@@ -90,6 +91,12 @@
 	// ackedPosition is the position of the last committed end. No row that could not be
 	// read precedes it.
 	ackedPosition uint64
+	// confirmedPosition is the highest position that an answered poll has acknowledged.
+	confirmedPosition uint64
+	// hasAcknowledged is true if a poll has acknowledged ends since the fence was raised.
+	hasAcknowledged bool
+	// withholdsAck is true if the last poll acknowledged no end, see ackLocked.
+	withholdsAck bool
 	// committed holds the positions of the committed ends after ackedPosition.
 	committed map[uint64]struct{}
 	// unread is the number of rows of the last answer that could not be read.
@@ -105,10 +112,12 @@
 }
 
 func newLink(s *Supervisor, session modeler.Session, fence uint64) *link {
-	return &link{
-		supervisor: s, session: session, fence: fence, orders: map[modeler.TaskName]*order{}, committed: map[uint64]struct{}{},
+	l := &link{
+		supervisor: s, session: session, orders: map[modeler.TaskName]*order{}, committed: map[uint64]struct{}{},
 		ended: make(chan struct{}),
 	}
+	l.fence.Store(fence)
+	return l
 }
 
 // withInherited adds the orders of tasks that were started under earlier leaders.
@@ -166,7 +175,7 @@
 			l.handleLaterLife(ctx, sent, result)
 		case err == nil:
 			l.handlePoll(ctx, sent, result)
-			if result.Unread > 0 {
+			if result.Unread > 0 || l.withholdsAck {
 				// Its ends are not acknowledged, so the worker answers the next poll at once.
 				waitToRetry(ctx)
 			}
@@ -199,9 +208,9 @@
 func (l *link) poll(ctx context.Context, session modeler.Session) (time.Duration, PollResult, error) {
 	l.mutex.Lock()
 	sent := l.now()
-	o := PollOrder{Fence: l.fence}
+	o := PollOrder{Fence: l.fence.Load()}
 	if l.clock.known && !l.unresponsive && !l.replaced {
-		o.AckedPosition = l.ackedPosition
+		o.AckedPosition = l.ackLocked()
 		o.Deadline = l.clock.earliestAt(sent) + workerLease
 		o.Wait = l.waitLocked()
 		l.deadline = max(l.deadline, o.Deadline)
@@ -220,9 +229,19 @@
 	if err != nil && errors.Is(context.Cause(interruptible), errInterrupted) {
 		err = errInterrupted
 	}
+	if err == nil && result.StartedAtMillis == session.StartedAtMillis {
+		l.confirmAck(o.AckedPosition)
+	}
 	return sent, result, err
 }
 
+// confirmAck records that the worker has answered a poll that acknowledged ends.
+func (l *link) confirmAck(position uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.confirmedPosition = max(l.confirmedPosition, position)
+}
+
 // waitLocked returns how long the worker may hold the answer to the next poll.
 // The caller holds the mutex.
 func (l *link) waitLocked() time.Duration {
@@ -273,7 +292,7 @@
 	}
 	l.mutex.Lock()
 	blocked, sent := l.startsBlocked, l.now()
-	o.Fence = l.fence
+	o.Fence = l.fenceStartLocked()
 	o.Deadline = l.clock.earliestAt(sent) + startWindow
 	if !blocked {
 		l.deadline = max(l.deadline, o.Deadline)
@@ -382,7 +401,7 @@
 	if !l.supervisor.options.Confirm() {
 		return
 	}
-	err := l.supervisor.options.Calls.Stop(bounded, l.current(), StopOrder{Attempt: a, Fence: l.fence})
+	err := l.supervisor.options.Calls.Stop(bounded, l.current(), StopOrder{Attempt: a, Fence: l.fence.Load()})
 	if err != nil {
 		l.log().Info("stop call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
 			zap.String("session", a.Session), zap.Error(err))
@@ -407,7 +426,7 @@
 	if !l.supervisor.options.Confirm() {
 		return false
 	}
-	o := PaceOrder{Attempt: a, Fence: l.fence, Percent: percent}
+	o := PaceOrder{Attempt: a, Fence: l.fence.Load(), Percent: percent}
 	if err := l.supervisor.options.Calls.Pace(bounded, l.current(), o); err != nil {
 		l.log().Info("pace call failed or got no answer", zap.Stringer("task", a.Task), zap.Int("attempt", a.Number),
 			zap.String("session", a.Session), zap.Int("percent", percent), zap.Error(err))
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -86,7 +86,7 @@
 		return
 	}
 	l.log().Warn("worker runs an attempt that has ended", zap.Stringer("task", r.Task), zap.Int("attempt", r.Number),
-		zap.String("session", l.session.Key()), zap.Int("lastAttempt", task.Attempt), zap.Uint64("fence", l.fence))
+		zap.String("session", l.session.Key()), zap.Int("lastAttempt", task.Attempt), zap.Uint64("fence", l.fence.Load()))
 }
 
 // dropOldOrders drops the orders of attempts that the state no longer holds. It
@@ -110,7 +110,7 @@
 	defer l.mutex.Unlock()
 	if l.startsBlocked || l.lastAnswer == 0 {
 		l.log().Info("worker is reachable", zap.String("session", l.session.Key()), zap.Int("running", len(result.Running)),
-			zap.Duration("clock", result.Clock), zap.Uint64("fence", l.fence))
+			zap.Duration("clock", result.Clock), zap.Uint64("fence", l.fence.Load()))
 	}
 	l.clock = l.clock.withReading(result.Clock, sent, l.now())
 	if result.Unread != l.unread {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -8,6 +8,7 @@
 	"errors"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -176,10 +177,11 @@
 type Supervisor struct {
 	options Options
 
+	// fences is the number of fences that are in use, without the first.
+	fences atomic.Uint64
+
 	mutex sync.Mutex
 	links map[string]*link
-	// lives is the number of sessions that were added after New.
-	lives uint64
 	// former holds when the last session of a worker was dropped, for keepFormer.
 	former map[string]time.Duration
 	added  chan *link
@@ -247,8 +249,7 @@
 	isNew := ok && !known
 	var added *link
 	if isNew {
-		s.lives++
-		added = newLink(s, session, Fence(s.options.Epoch, s.lives))
+		added = newLink(s, session, s.nextFence())
 		added.hasEarlierLife = s.hasEarlierLifeLocked(session.Worker)
 	}
 	s.mutex.Unlock()
--- a/internal/supervisor/worker_test.go
+++ b/internal/supervisor/worker_test.go
@@ -35,6 +35,8 @@
 	polls          int
 	// lastPoll is the last poll that renews the lease.
 	lastPoll PollOrder
+	// lastAck is the last poll that acknowledges ends.
+	lastAck PollOrder
 
 	// disconnected workers receive no calls and answer none.
 	disconnected bool
@@ -122,6 +124,13 @@
 	return f.lastPoll
 }
 
+// ackPoll returns the last poll that acknowledged ends.
+func (f *fakeWorker) ackPoll() PollOrder {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.lastAck
+}
+
 func (f *fakeWorker) currentSession() modeler.Session {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -258,6 +267,9 @@
 		if o.Deadline > 0 {
 			f.lastPoll = o
 		}
+		if o.AckedPosition > 0 {
+			f.lastAck = o
+		}
 	})
 	wait := time.NewTimer(o.Wait)
 	defer wait.Stop()
