--- a/internal/supervisor/fence.go
+++ b/internal/supervisor/fence.go
@@ -58,7 +58,7 @@
 // listed, and that a later life may carry out. The caller holds the mutex.
 func (l *link) hasUnlistedLocked() bool {
 	for _, o := range l.orders {
-		if !o.isListed && !(o.phase == orderFenced && o.hasTicket) {
+		if !o.isListed && (o.phase != orderFenced || !o.hasTicket) {
 			return true
 		}
 	}
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -175,10 +175,7 @@
 			l.handleLaterLife(ctx, sent, result)
 		case err == nil:
 			l.handlePoll(ctx, sent, result)
-			if result.Unread > 0 || l.withholdsAck {
-				// Its ends are not acknowledged, so the worker answers the next poll at once.
-				waitToRetry(ctx)
-			}
+			l.pauseUnacknowledged(ctx, result)
 		case errors.Is(err, ErrOtherIncarnation):
 			// Another worker is at the address, which refuses all orders to this one.
 			l.endSession(ctx, err)
@@ -193,6 +190,14 @@
 	return nil
 }
 
+// pauseUnacknowledged waits if ends of the answer are not acknowledged, as the worker answers the next
+// poll at once then.
+func (l *link) pauseUnacknowledged(ctx context.Context, result PollResult) {
+	if result.Unread > 0 || l.withholdsAck {
+		waitToRetry(ctx)
+	}
+}
+
 func waitToRetry(ctx context.Context) { wait(ctx, pollRetryDelay) }
 
 func wait(ctx context.Context, delay time.Duration) {
