--- a/internal/supervisor/fence.go
+++ b/internal/supervisor/fence.go
@@ -55,10 +55,12 @@
 }
 
 // hasUnlistedLocked reports whether a start was or may be sent that the session's life has not
-// listed, and that a later life may carry out. The caller holds the mutex.
+// listed, and that a later life may carry out. Starts with a ticket don't count: the ticket would have
+// to be issued for that life before the leader knows of it, and each poll more is felt by a leader
+// whose processor binds. The caller holds the mutex.
 func (l *link) hasUnlistedLocked() bool {
 	for _, o := range l.orders {
-		if !o.isListed && (o.phase != orderFenced || !o.hasTicket) {
+		if !o.isListed && !o.hasTicket {
 			return true
 		}
 	}
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -283,8 +283,9 @@
 	if l.unresponsive || l.replaced || !l.clock.known {
 		return false
 	}
+	now := l.now()
 	l.orders[o.Attempt.Task] = &order{
-		number: o.Attempt.Number, phase: orderSending, since: l.now(), sentAt: l.now(), hasTicket: o.Ticket != "",
+		number: o.Attempt.Number, phase: orderSending, since: now, sentAt: now, hasTicket: o.Ticket != "",
 	}
 	return true
 }
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -112,13 +112,14 @@
 		l.log().Info("worker is reachable", zap.String("session", l.session.Key()), zap.Int("running", len(result.Running)),
 			zap.Duration("clock", result.Clock), zap.Uint64("fence", l.fence.Load()))
 	}
-	l.clock = l.clock.withReading(result.Clock, sent, l.now())
+	now := l.now()
+	l.clock = l.clock.withReading(result.Clock, sent, now)
 	if result.Unread != l.unread {
 		l.log().Warn("rows of a worker's lists could not be read", zap.String("session", l.session.Key()),
 			zap.Int("rows", result.Unread))
 		l.unread = result.Unread
 	}
-	l.lastAnswer = l.now()
+	l.lastAnswer = now
 	if l.firstAnswer == 0 {
 		l.firstAnswer = l.lastAnswer
 	}
@@ -152,7 +153,7 @@
 		return
 	}
 	o.isListed, o.hasBegun = true, true
-	if !o.isReported && l.now()-o.sentAt >= minReportAge {
+	if !o.isReported && l.lastAnswer-o.sentAt >= minReportAge {
 		o.isReported = true
 		l.supervisor.ends.addListed(a)
 	}
