--- a/internal/supervisor/otherlife.go
+++ b/internal/supervisor/otherlife.go
@@ -63,11 +63,12 @@
 
 // mayStartLaterLocked reports whether a later life of the worker may still carry out a start that
 // the session's life can't carry out any more. A stop and a fence bind one life. So does a
-// ticket, which was issued for this one, as it has answered since. The caller holds the mutex.
+// ticket, which was issued for this one, as it has answered since; and one that was listed has been
+// carried out. The caller holds the mutex.
 func (l *link) mayStartLaterLocked(o *order) bool {
 	sentBy := o.sentAt + callTimeout
 	if o.isInherited {
 		sentBy = o.sentAt + maxStartTime
 	}
-	return !o.hasTicket && l.now() < sentBy+l.supervisor.options.OrderDelay
+	return !o.hasTicket && !o.isListed && l.now() < sentBy+l.supervisor.options.OrderDelay
 }
