--- a/review/standin-2/nested.go
+++ b/review/standin-2/nested.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -14,7 +17,7 @@
 // page names, while jobs of two steps run.
 func nestedConfigurationHangsCell(t *trial) (int, error) {
 	const (
-		depth   = 9994
+		depth   = 9996
 		jobs    = 6
 		finish  = 14 * time.Second
 		idleFor = 3 * time.Second
@@ -46,11 +49,15 @@
 		ids = append(ids, id)
 	}
 	time.Sleep(500 * time.Millisecond)
+	send := func() {}
 	if t.hasTrouble {
 		nested := bytes.TrimSuffix(configuration(2, keep), []byte("}"))
 		nested = append(nested, []byte(`,"note":`+strings.Repeat("[", depth)+strings.Repeat("]", depth)+"}")...)
-		t.putConfig(fmt.Sprintf("version 2 with a note of %d nested lists", depth), nested, t.controls(""), 3*time.Second)
+		send = func() {
+			t.putConfig(fmt.Sprintf("version 2 with a note of %d nested lists", depth), nested, t.controls(""), 3*time.Second)
+		}
 	}
+	send()
 	time.Sleep(finish)
 	t.record.add("%s after the end of the traffic", finish)
 	for _, id := range ids {
@@ -70,6 +77,13 @@
 		}
 	}
 	t.probe(at, keep)
+	if t.hasTrouble {
+		// This comes after the verdict, and shows what an operator would meet.
+		t.restartLeader()
+		send()
+		t.restartLeader()
+		t.probe(at, keep)
+	}
 	fmt.Printf("%d of %d jobs are stuck after their first step\n", lost, len(ids))
 	if lost > 0 && most == 0 {
 		return broken, nil
@@ -83,7 +97,37 @@
 	status, body := t.request(at, "POST", "/jobs/"+id, job(1, 100, ""))
 	t.record.add("client: POST /jobs/%s: %s %s", id, describe(status), body)
 	t.putConfig("version 3, an ordinary one", configuration(3, keep), t.controls(""), 3*time.Second)
+	leader := t.cell.leader()
 	for _, m := range t.cell.members {
-		t.record.add("control on %s runs: %t; leads: %s", m.name, !m.control.hasEnded(), metric(m.at(controlAdmin), "leads"))
+		t.record.add("control on %s runs: %t; leads: %t", m.name, !m.control.hasEnded(), m == leader)
+	}
+}
+
+// restartLeader does what an operator would try next: it kills the member that leads, and starts it
+// again a few times.
+func (t *trial) restartLeader() {
+	leader := t.cell.leader()
+	if leader == nil {
+		t.record.add("no member leads")
+		return
+	}
+	leader.control.signal(syscall.SIGKILL)
+	<-leader.control.ended
+	settings := strings.Replace(t.cell.controlSettings(leader), "founding = on", "founding = off", 1)
+	for range 3 {
+		again, err := t.cell.start(t.ctx, "again-"+leader.name, "samphirewick-control", settings)
+		if err != nil {
+			return
+		}
+		time.Sleep(time.Second)
+		t.record.add("control on %s, killed and started again, runs a second later: %t", leader.name, !again.hasEnded())
+	}
+	log, _ := os.ReadFile(filepath.Join(t.cell.folder, "again-"+leader.name+".log"))
+	for _, line := range strings.Split(string(log), "\n") {
+		if _, cause, ok := strings.Cut(line, `"error":"`); ok {
+			cause, _, _ = strings.Cut(cause, `"`)
+			t.record.add("its log: %s", cause)
+			break
+		}
 	}
 }
