fix: tasks that have not begun take no memory

What callers saw: jobs that repeat are answered 200, and after about 50 of them (60 tasks, 1,000 times, due in ten minutes) every member of control uses more than its 284 MB and is killed, again and again, as it reads the same state when it starts. Nothing new is accepted, and ordinary jobs can hardly be asked for.

The scheduler of the leader also held the waiting steps of all occurrences, due or not.

A workflow keeps the runs of its occurrences up to the first that has not begun; Run returns the later ones, which don't differ from it. The backlog holds the steps of occurrences that are due, and not more than 64 of those that have not begun, as the later ones have the same steps.

--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -13,7 +13,7 @@
 	// MaxOccurrences is the maximum number of times that the steps run.
 	MaxOccurrences = 1000
 	// MaxTasksPerWorkflow is the maximum number of tasks of all steps and occurrences: 200
-	// for each of MaxOccurrences. Every member holds each of them in memory.
+	// for each of MaxOccurrences.
 	MaxTasksPerWorkflow = 200_000
 	// MaxPayloadBytes is the maximum size of the payload passed to the tasks.
 	MaxPayloadBytes = 4096
@@ -195,49 +195,6 @@
 // HoldsResources reports whether an attempt of the task may still use its worker.
 func (t WorkflowTask) HoldsResources() bool { return t.Session != "" }
 
-// StepRun is the state of one occurrence of a step. It is immutable.
-type StepRun struct {
-	// Tasks has one element per task of the step.
-	Tasks []WorkflowTask `json:"tasks"`
-	// Attempt is the number of the last attempt of a gang, shared by all its tasks.
-	Attempt int `json:"attempt,omitempty"`
-	// Failures is the number of attempts of a gang in which a task failed.
-	Failures int `json:"failures,omitempty"`
-	// FailedAttempt is the number of the last attempt of a gang that was counted
-	// as failed.
-	FailedAttempt int `json:"failedAttempt,omitempty"`
-	// Checkpoint is the position from which the next attempt of a gang resumes.
-	Checkpoint string `json:"checkpoint,omitempty"`
-}
-
-// WithTask returns a copy of r with the task at the index replaced.
-func (r StepRun) WithTask(index int, task WorkflowTask) StepRun {
-	r.Tasks = slices.Clone(r.Tasks)
-	r.Tasks[index] = task
-	return r
-}
-
-// IsFinished reports whether all tasks have finished.
-func (r StepRun) IsFinished() bool {
-	return !slices.ContainsFunc(r.Tasks, func(t WorkflowTask) bool { return t.Phase != TaskFinished })
-}
-
-// HoldsResources reports whether any task holds resources of a session.
-func (r StepRun) HoldsResources() bool {
-	return slices.ContainsFunc(r.Tasks, WorkflowTask.HoldsResources)
-}
-
-// HasLostTask reports whether an attempt of a gang has lost a task, so that its
-// remaining tasks have to stop.
-func (r StepRun) HasLostTask() bool {
-	hasStarted, hasWaiting := false, false
-	for _, t := range r.Tasks {
-		hasStarted = hasStarted || t.Phase == TaskStarted
-		hasWaiting = hasWaiting || t.Phase == TaskWaiting
-	}
-	return hasStarted && hasWaiting
-}
-
 // WorkflowPhase is the phase of a workflow's life cycle.
 type WorkflowPhase string
 
@@ -256,9 +213,10 @@
 	Submitted time.Time     `json:"submitted"`
 	Phase     WorkflowPhase `json:"phase"`
 	// Runs has one element per step of each occurrence, ordered by occurrence and
-	// then by step. It is empty if the workflow was cancelled before its
-	// submission arrived, and holds one run without tasks once the workflow has ended
-	// and no task holds resources.
+	// then by step. It ends with the first occurrence of which no task has started, as
+	// the later ones don't differ from it; Run returns these too. It is empty if the
+	// workflow was cancelled before its submission arrived, and holds one run without
+	// tasks once the workflow has ended and no task holds resources.
 	Runs []StepRun `json:"runs"`
 	// Begun is true once a worker has confirmed or listed one of the workflow's attempts.
 	Begun bool `json:"begun,omitempty"`
@@ -275,18 +233,50 @@
 // NewWorkflow returns a workflow whose tasks are all waiting.
 func NewWorkflow(spec WorkflowSpec, at time.Time) Workflow {
 	w := Workflow{Spec: spec, Submitted: at, Phase: WorkflowWaiting}
-	for range max(1, spec.Occurrences) {
-		for _, step := range spec.Steps {
-			run := StepRun{Tasks: make([]WorkflowTask, step.Count)}
-			for i := range run.Tasks {
-				run.Tasks[i].Phase = TaskWaiting
-			}
-			w.Runs = append(w.Runs, run)
-		}
+	return w.withRunsUntil(0)
+}
+
+// OccurrenceCount returns how many times the steps run.
+func (w Workflow) OccurrenceCount() int { return max(1, w.Spec.Occurrences) }
+
+// withRunsUntil returns a copy of w whose Runs hold the occurrence.
+func (w Workflow) withRunsUntil(occurrence int) Workflow {
+	steps := len(w.Spec.Steps)
+	missing := (min(occurrence, w.OccurrenceCount()-1)+1)*steps - len(w.Runs)
+	if missing <= 0 {
+		return w
 	}
+	runs := slices.Grow(slices.Clone(w.Runs), missing)
+	for range missing {
+		runs = append(runs, waitingRun(w.Spec.Steps[len(runs)%steps]))
+	}
+	w.Runs = runs
 	return w
 }
 
+// BegunOccurrences returns how many occurrences are before the first of which no task has
+// started.
+func (w Workflow) BegunOccurrences() int {
+	occurrences := len(w.Runs) / max(1, len(w.Spec.Steps))
+	for occurrences > 0 && w.isUntouched(occurrences-1) {
+		occurrences--
+	}
+	return occurrences
+}
+
+func (w Workflow) isUntouched(occurrence int) bool {
+	steps := len(w.Spec.Steps)
+	return !slices.ContainsFunc(w.Runs[occurrence*steps:(occurrence+1)*steps], func(r StepRun) bool { return !r.isUntouched() })
+}
+
+// Run returns the run at the position, which is that of RunIndex.
+func (w Workflow) Run(position int) StepRun {
+	if position < len(w.Runs) {
+		return w.Runs[position]
+	}
+	return waitingRun(w.Spec.Steps[position%len(w.Spec.Steps)])
+}
+
 // WithoutTasks returns a copy of an ended workflow that keeps only what callers may
 // still ask for. It has one run without tasks, as a workflow without any run was never
 // submitted.
@@ -310,33 +300,48 @@
 	return w.Phase == WorkflowFinished || w.Phase == WorkflowFailed || w.Phase == WorkflowCancelled
 }
 
-// RunIndex returns the index in Runs of the named task's step and occurrence, and
+// RunIndex returns the position of the named task's step and occurrence, and
 // whether it exists.
 func (w Workflow) RunIndex(name TaskName) (int, bool) {
-	if name.Step < 0 || name.Step >= len(w.Spec.Steps) || name.Occurrence < 0 {
+	if name.Step < 0 || name.Step >= len(w.Spec.Steps) || name.Occurrence < 0 || name.Occurrence >= w.OccurrenceCount() {
 		return 0, false
 	}
-	// The product of an occurrence that doesn't exist may overflow.
-	if name.Occurrence > len(w.Runs)/len(w.Spec.Steps) {
-		return 0, false
-	}
-	position := name.Occurrence*len(w.Spec.Steps) + name.Step
-	return position, position < len(w.Runs)
+	return name.Occurrence*len(w.Spec.Steps) + name.Step, true
 }
 
 // Task returns the named task, and whether it exists.
 func (w Workflow) Task(name TaskName) (WorkflowTask, bool) {
 	position, ok := w.RunIndex(name)
-	if !ok || name.Index < 0 || name.Index >= len(w.Runs[position].Tasks) {
+	if !ok {
 		return WorkflowTask{}, false
 	}
-	return w.Runs[position].Tasks[name.Index], true
+	tasks := w.Run(position).Tasks
+	if name.Index < 0 || name.Index >= len(tasks) {
+		return WorkflowTask{}, false
+	}
+	return tasks[name.Index], true
 }
 
 // WithRun returns a copy of w with the run at the position replaced.
 func (w Workflow) WithRun(position int, run StepRun) Workflow {
+	w = w.withRunsUntil(position/len(w.Spec.Steps) + 1)
 	w.Runs = slices.Clone(w.Runs)
-	w.Runs[position] = run
+	w.Runs[position] = run.Compact()
+	return w
+}
+
+// Compact returns w in the least memory: without the runs that Run returns without them,
+// and with tasks in shared memory where they are alike.
+func (w Workflow) Compact() Workflow {
+	if len(w.Spec.Steps) == 0 {
+		return w
+	}
+	runs := slices.Clone(w.Runs)
+	for i, run := range runs {
+		runs[i] = run.Compact()
+	}
+	w.Runs = runs
+	w.Runs = slices.Clone(runs[:min(len(runs), (w.BegunOccurrences()+1)*len(w.Spec.Steps))])
 	return w
 }
 
@@ -361,14 +366,15 @@
 // DependenciesFinished reports whether all dependencies of the step have finished.
 func (w Workflow) DependenciesFinished(occurrence, step int) bool {
 	for _, d := range w.Spec.Steps[step].DependsOn {
-		if !w.Runs[occurrence*len(w.Spec.Steps)+d].IsFinished() {
+		if !w.Run(occurrence*len(w.Spec.Steps) + d).IsFinished() {
 			return false
 		}
 	}
 	return true
 }
 
-// HasFinished reports whether all tasks of all occurrences have finished.
+// HasFinished reports whether all tasks of all occurrences have finished. Runs ends with an
+// occurrence that has not begun if there is one.
 func (w Workflow) HasFinished() bool {
 	return !slices.ContainsFunc(w.Runs, func(r StepRun) bool { return !r.IsFinished() })
 }
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -228,6 +228,7 @@
 // restoreWorkflows restores workflows, and what they refer to.
 func (t *transition) restoreWorkflows(stored snapshot) {
 	for _, w := range stored.Workflows {
+		w = w.Compact()
 		t.setWorkflow(w)
 		t.countDepartmentUsage(w)
 	}
--- a/internal/reducer/workflows.go
+++ b/internal/reducer/workflows.go
@@ -109,13 +109,16 @@
 func (t *transition) endWorkflow(w modeler.Workflow, phase modeler.WorkflowPhase) {
 	w.Runs = slices.Clone(w.Runs)
 	for i, run := range w.Runs {
+		if run.IsFinished() {
+			continue
+		}
 		run.Tasks = slices.Clone(run.Tasks)
 		for k, task := range run.Tasks {
 			if task.Phase == modeler.TaskWaiting || task.Phase == modeler.TaskStarted {
 				run.Tasks[k].Phase = modeler.TaskCancelled
 			}
 		}
-		w.Runs[i] = run
+		w.Runs[i] = run.Compact()
 	}
 	t.setWorkflow(w.WithPhase(phase, t.at))
 }
@@ -160,7 +163,7 @@
 	if !ok || !exists || w.IsEnded() || !w.DependenciesFinished(name.Occurrence, name.Step) {
 		return
 	}
-	step, run := w.Spec.Steps[name.Step], w.Runs[position]
+	step, run := w.Spec.Steps[name.Step], w.Run(position)
 	before := *t
 	run.Tasks = slices.Clone(run.Tasks)
 	if step.Gang {
@@ -172,7 +175,7 @@
 			accepted++
 		}
 	}
-	isComplete := accepted == step.Count && !w.Runs[position].HoldsResources()
+	isComplete := accepted == step.Count && !w.Run(position).HoldsResources()
 	if accepted == 0 || (step.Gang && !isComplete) {
 		*t = before
 		return
@@ -265,7 +268,7 @@
 	}
 	t.addDepartmentUsage(w.Spec.Department, step.Need.Times(-1))
 	position, _ := w.RunIndex(name)
-	run := w.Runs[position]
+	run := w.Run(position)
 	task.Session = ""
 	if e.Outcome == AttemptFailed {
 		task.FailedOn = appendFailedOn(task.FailedOn, worker)
--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -10,13 +10,18 @@
 	"github.com/samphirewick/samphirewick/internal/reducer"
 )
 
+// maxUnbegunSteps is how many steps of occurrences that have not begun the backlog holds of
+// one workflow, besides those of the first of these occurrences. Later occurrences have the
+// same steps, so that what keeps those before them from starting keeps them too.
+const maxUnbegunSteps = 64
+
 // backlog holds the steps of active workflows that have tasks to start.
 type backlog struct {
 	// waiting holds the ready steps of each active workflow, by workflow id.
-	waiting map[string][]readyStep
+	waiting map[string]*waitingWorkflow
 }
 
-func newBacklog() *backlog { return &backlog{waiting: map[string][]readyStep{}} }
+func newBacklog() *backlog { return &backlog{waiting: map[string]*waitingWorkflow{}} }
 
 // sync replaces the entry of a workflow by its ready steps in the state, or
 // removes it if the workflow is unknown or has ended.
@@ -26,7 +31,7 @@
 		delete(b.waiting, id)
 		return
 	}
-	b.waiting[id] = readySteps(w)
+	b.waiting[id] = &waitingWorkflow{workflow: w}
 }
 
 // remove removes a workflow, and reports whether the backlog held it.
@@ -36,6 +41,31 @@
 	return ok
 }
 
+// waitingWorkflow is a workflow with the ready steps of its occurrences that are due.
+type waitingWorkflow struct {
+	workflow modeler.Workflow
+	// steps are the ready steps of the occurrences before next.
+	steps []readyStep
+	// next is the first occurrence whose steps were not added yet.
+	next int
+	// unbegun is the number of steps that are of occurrences that have not begun.
+	unbegun int
+}
+
+// addDue adds the ready steps of the occurrences that are due at the time now, up to
+// maxUnbegunSteps.
+func (e *waitingWorkflow) addDue(now time.Time) {
+	w := e.workflow
+	for e.next < w.OccurrenceCount() && e.unbegun < maxUnbegunSteps && !w.DueAt(e.next).After(now) {
+		steps := readySteps(w, e.next)
+		e.steps = append(e.steps, steps...)
+		if e.next >= w.BegunOccurrences() {
+			e.unbegun += len(steps)
+		}
+		e.next++
+	}
+}
+
 // readyStep is a step whose dependencies are met and that has tasks to start.
 type readyStep struct {
 	name     adviser.StepName
@@ -57,20 +87,20 @@
 	beyondRate, shareBand int
 }
 
-// readySteps returns the steps of the workflow that have tasks to start. It
+// readySteps returns the steps of an occurrence that have tasks to start. It
 // leaves queue, due and deadlineClass unset: these depend on the queue table and
 // the time, and ordered sets them.
-func readySteps(w modeler.Workflow) []readyStep {
+func readySteps(w modeler.Workflow, occurrence int) []readyStep {
 	var steps []readyStep
-	for position, run := range w.Runs {
-		occurrence, step := position/len(w.Spec.Steps), position%len(w.Spec.Steps)
-		waiting := waitingTasks(w.Spec.Steps[step], run)
+	for step, spec := range w.Spec.Steps {
+		run := w.Run(occurrence*len(w.Spec.Steps) + step)
+		waiting := waitingTasks(spec, run)
 		if len(waiting) == 0 || !w.DependenciesFinished(occurrence, step) {
 			continue
 		}
 		steps = append(steps, readyStep{
 			name:     adviser.StepName{Workflow: w.Spec.ID, Occurrence: occurrence, Step: step},
-			workflow: w, step: w.Spec.Steps[step], run: run, waiting: waiting,
+			workflow: w, step: spec, run: run, waiting: waiting,
 			criticalPath: criticalPath(w.Spec.Steps, 0), remainingPath: criticalPath(w.Spec.Steps, step),
 		})
 	}
@@ -97,15 +127,16 @@
 // duration can hold.
 const maxObjective = 30 * 365 * 24 * time.Hour
 
-// ordered returns the ready steps whose queue is in the state, in the order in
-// which to place them: those within their department's rate first, then by queue priority,
+// ordered returns the ready steps that are due and whose queue is in the state, in the
+// order in which to place them: those within their department's rate first, then by queue priority,
 // deadline class, the department's share, deadline and name.
 func (b *backlog) ordered(state reducer.State, now time.Time) []*readyStep {
 	var steps []*readyStep
 	band := shareBands(state)
-	for _, waiting := range b.waiting {
-		for i := range waiting {
-			r := &waiting[i]
+	for _, entry := range b.waiting {
+		entry.addDue(now)
+		for i := range entry.steps {
+			r := &entry.steps[i]
 			queue, ok := state.Queues.Get(r.workflow.Spec.Queue)
 			if !ok {
 				continue
--- a/internal/scheduler/heavyload_test.go
+++ b/internal/scheduler/heavyload_test.go
@@ -191,8 +191,8 @@
 		free += s.Free().Processors
 		kept += min(s.Free().Processors, h.scheduler.kept[s.Key()].Processors)
 	}
-	for _, waiting := range h.scheduler.backlog.waiting {
-		for _, r := range waiting {
+	for _, entry := range h.scheduler.backlog.waiting {
+		for _, r := range entry.steps {
 			wanted += int64(len(r.waiting)) * r.step.Need.Processors
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -306,7 +306,7 @@
 		position, _ := w.RunIndex(planned.task)
 		checkpoint := task.Checkpoint
 		if w.Spec.Steps[planned.task.Step].Gang {
-			checkpoint = w.Runs[position].Checkpoint
+			checkpoint = w.Run(position).Checkpoint
 		}
 		s.options.Log.Info("task started", zap.Stringer("task", planned.task), zap.Int("attempt", task.Attempt),
 			zap.String("session", planned.session), zap.Uint64("revision", state.Revision))
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -366,5 +366,5 @@
 		return true
 	}
 	position, _ := w.RunIndex(name)
-	return w.Spec.Steps[name.Step].Gang && task.Phase == modeler.TaskStarted && w.Runs[position].HasLostTask()
+	return w.Spec.Steps[name.Step].Gang && task.Phase == modeler.TaskStarted && w.Run(position).HasLostTask()
 }
