fix: work for which there is no memory is refused

Cause: the limiter counts the bytes of requests in flight, not what they leave in the state; nothing refused work for that. Ended workflows are kept for ten minutes whatever they take.

Why it works: the state counts about how many bytes its workflows and jobs take, with the leader's tables and their encoded form. Where that, with what is being committed, passes a sixth of the process's memory, new work is refused at once with `exhausted` (503, not tried again by the entry), with nothing committed, until some has ended; what was accepted is kept, and is acknowledged when it is sent again. The ready steps of a workflow share its specification.

--- a/cmd/samphirewick-control/internal/commander/run.go
+++ b/cmd/samphirewick-control/internal/commander/run.go
@@ -174,22 +174,30 @@
 		RenewInterval:   leases.RenewInterval,
 		KeepLostWorkers: leases.KeepLostWorkers,
 		KeepJobs:        leases.KeepJobs,
+		KeepJobsLeast:   leases.KeepJobsLeast,
+		WorkBytes:       limiter.WorkBytes(m.settings.Limits.MemoryMegabytes),
 		Push:            newAssignmentPusher(),
 		Scope:           m.meter.Scope,
 		Workflows:       m.workflowOptions(),
 	}, m.log)
+	m.responder = responder.New(m.coordinator, m.manager, m.responderOptions())
+	return nil
+}
+
+func (m *member) responderOptions() responder.Options {
+	leases := m.settings.Leases
 	options := responder.Options{
 		WorkerLease:   leases.Worker,
 		EntryLease:    leases.Entry,
 		RenewInterval: leases.RenewInterval,
+		WorkBytes:     limiter.WorkBytes(m.settings.Limits.MemoryMegabytes),
 		LearnAddress:  m.courier.LearnAddress,
 		Log:           m.log,
 	}
 	if m.control != nil {
 		m.shareAddresses(&options)
 	}
-	m.responder = responder.New(m.coordinator, m.manager, options)
-	return nil
+	return options
 }
 
 // shareAddresses makes the caller of this member know the members in its journal and those
@@ -377,6 +385,8 @@
 		scope.Gauge("jobs").Update(float64(state.Jobs.Len()))
 		scope.Gauge("sessions").Update(float64(state.Sessions.Len()))
 		scope.Gauge("workflows_active").Update(float64(state.ActiveWorkflows.Len()))
+		scope.Gauge("work_bytes").Update(float64(state.WorkBytes))
+		scope.Gauge("work_bytes_limit").Update(float64(limiter.WorkBytes(m.settings.Limits.MemoryMegabytes)))
 		scope.Gauge("table_version").Update(float64(state.QueueTable.Version))
 		scope.Gauge("jobs_waiting").Update(float64(state.WaitingJobs.Len()))
 		scope.Gauge("requests_recorded").Update(float64(state.Requests.Len()))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -31,7 +31,7 @@
 		{"placement", l.placeTasks},
 		{"delivery", l.deliverAssignments},
 		{"workflows", l.runWorkflows},
-		{"retention", every(retentionInterval, l.applyRetention)},
+		{"retention", every(retentionCheck, l.applyRetention)},
 		{"loadReport", every(loadReportInterval, l.reportLoad)},
 	}
 }
@@ -40,6 +40,8 @@
 	leaseInterval     = 100 * time.Millisecond
 	ownershipInterval = 50 * time.Millisecond
 	retentionInterval = time.Minute
+	// retentionCheck is the interval while memory is short.
+	retentionCheck = 10 * time.Second
 	// leadershipInterval is how often the manager checks whether this member leads.
 	leadershipInterval = 10 * time.Millisecond
 )
@@ -82,6 +84,11 @@
 	KeepLostWorkers time.Duration
 	// KeepJobs is how long an ended job or workflow is kept in the state.
 	KeepJobs time.Duration
+	// KeepJobsLeast replaces KeepJobs while the work in the state takes more than half of
+	// WorkBytes, unless it is zero.
+	KeepJobsLeast time.Duration
+	// WorkBytes bounds the memory that accepted work takes, in bytes; zero means no bound.
+	WorkBytes int64
 	// Push sends an assignment to the worker at the address. Never nil.
 	Push func(ctx context.Context, address string, body any) error
 	// Scope receives the metrics of the workflow controller. Never nil if Workflows
--- a/internal/controller/leaderstate.go
+++ b/internal/controller/leaderstate.go
@@ -33,6 +33,8 @@
 	leadingSince time.Duration
 	// term is the term of the leadership; it fences orders to workers.
 	term uint64
+	// lastRetention is when retention was last applied, or when the leadership began.
+	lastRetention time.Time
 
 	mutex   sync.Mutex
 	workers map[string]lease
@@ -80,15 +82,16 @@
 	c *coordinator.Coordinator, options Options, log *zap.Logger, leadership coordinator.Leadership,
 ) *LeaderState {
 	return &LeaderState{
-		coordinator:  c,
-		options:      options,
-		log:          log,
-		leadingSince: leadership.Since,
-		term:         leadership.Term,
-		workers:      map[string]lease{},
-		entries:      map[string]entryLease{},
-		pushes:       make(chan string, pushQueueSize),
-		profiler:     newProfiler(c, options),
+		coordinator:   c,
+		lastRetention: time.Now(),
+		options:       options,
+		log:           log,
+		leadingSince:  leadership.Since,
+		term:          leadership.Term,
+		workers:       map[string]lease{},
+		entries:       map[string]entryLease{},
+		pushes:        make(chan string, pushQueueSize),
+		profiler:      newProfiler(c, options),
 
 		reportedReplication: c.ReplicationStats(),
 	}
--- a/internal/controller/leases.go
+++ b/internal/controller/leases.go
@@ -90,8 +90,22 @@
 }
 
 // applyRetention proposes to drop what the state no longer has to keep, including the
-// jobs and workflows that ended more than KeepJobs ago.
+// jobs and workflows that ended more than KeepJobs ago, or KeepJobsLeast while memory is
+// short. It does so at each call while memory is short, and else at intervals.
 func (l *LeaderState) applyRetention(ctx context.Context) {
-	before := time.Now().Add(-l.options.KeepJobs)
+	keep, isShort := l.options.KeepJobs, l.isShortOfMemory()
+	if !isShort && time.Since(l.lastRetention) < retentionInterval {
+		return
+	}
+	if isShort && l.options.KeepJobsLeast > 0 {
+		keep = min(keep, l.options.KeepJobsLeast)
+	}
+	l.lastRetention = time.Now()
+	before := l.lastRetention.Add(-keep)
 	_, _ = l.propose(ctx, reducer.Command{Kind: reducer.KindApplyRetention, Before: before})
 }
+
+// isShortOfMemory reports whether accepted work takes more than half of its memory.
+func (l *LeaderState) isShortOfMemory() bool {
+	return l.options.WorkBytes > 0 && l.coordinator.State().WorkBytes > l.options.WorkBytes/2
+}
--- a/internal/limiter/settings.go
+++ b/internal/limiter/settings.go
@@ -13,6 +13,9 @@
 	// flight, and for connections.
 	bytesPart       = 4
 	connectionsPart = 4
+	// workPart is the part of the memory of a member of control for accepted work. A snapshot
+	// takes several times the memory of what it holds while it is made and sent.
+	workPart = 6
 	// connectionBytes is the memory of a connection without a request: two buffers of 4 KiB, a
 	// stack of 8 KiB, and the records of the HTTP server.
 	connectionBytes = 20 << 10
@@ -48,3 +51,7 @@
 	}
 	return limits
 }
+
+// WorkBytes returns how many bytes of memory accepted work may take in a process that may use the
+// megabytes. Zero means that these are not known, so that work is not bounded.
+func WorkBytes(memoryMegabytes int) int64 { return int64(memoryMegabytes) * megabyte / workPart }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -126,6 +126,9 @@
 	LateOrders time.Duration `ini:"lateOrders"`
 	// KeepJobs is how long an ended job is kept in the state.
 	KeepJobs time.Duration `ini:"keepJobs"`
+	// KeepJobsLeast is how long an ended job is kept while accepted work takes more than half
+	// of its memory; zero means KeepJobs.
+	KeepJobsLeast time.Duration `ini:"keepJobsLeast"`
 }
 
 // ControlJournal configures the journal. SnapshotEvery and KeepEntries count log
@@ -276,6 +279,7 @@
 		requireAtLeast("leases", "longest", s.Leases.Longest, 3*time.Second),
 		requireAtLeast("leases", "lateOrders", s.Leases.LateOrders, 0),
 		requireAtLeast("leases", "keepJobs", s.Leases.KeepJobs, time.Minute),
+		requireAtLeast("leases", "keepJobsLeast", s.Leases.KeepJobsLeast, 0),
 		requireWithin("journal", "snapshotEvery", s.Journal.SnapshotEvery, 10, 10000000),
 		requireWithin("journal", "keepEntries", s.Journal.KeepEntries, 0, s.Journal.SnapshotEvery),
 		requireWithin("journal", "reserveMegabytes", s.Journal.ReserveMegabytes, 0, 1000000),
--- a/internal/modeler/modeler.go
+++ b/internal/modeler/modeler.go
@@ -85,6 +85,8 @@
 	CodeForbidden       RefusalCode = "forbidden"
 	CodeTooLarge        RefusalCode = "tooLarge"
 	CodeNoBackend       RefusalCode = "noBackendServer"
+	// CodeExhausted means that the cell has no memory for more work until some has ended.
+	CodeExhausted RefusalCode = "exhausted"
 )
 
 // RefusalError is the reason why an operation was refused. It is passed between
--- a/internal/modeler/steprun.go
+++ b/internal/modeler/steprun.go
@@ -37,8 +37,8 @@
 	return r
 }
 
-// isUntouched reports whether no task of the run has ever started.
-func (r StepRun) isUntouched() bool {
+// IsUntouched reports whether no task of the run has ever started.
+func (r StepRun) IsUntouched() bool {
 	phase, ok := r.Tasks.uniformPhase()
 	return ok && phase == TaskWaiting
 }
--- a/internal/modeler/workflow.go
+++ b/internal/modeler/workflow.go
@@ -228,11 +228,14 @@
 	AlsoCancelledBy []string `json:"alsoCancelledBy,omitempty"`
 	// Ended is the time at which the workflow reached a final phase; zero before.
 	Ended time.Time `json:"ended,omitzero"`
+
+	// payloadBytes is the encoded length of the payload of a workflow with steps.
+	payloadBytes int
 }
 
 // NewWorkflow returns a workflow whose tasks are all waiting.
 func NewWorkflow(spec WorkflowSpec, at time.Time) Workflow {
-	w := Workflow{Spec: spec, Submitted: at, Phase: WorkflowWaiting}
+	w := Workflow{Spec: spec, Submitted: at, Phase: WorkflowWaiting, payloadBytes: encodedLength(spec.Payload)}
 	return w.withRunsUntil(0)
 }
 
@@ -266,7 +269,7 @@
 
 func (w Workflow) isUntouched(occurrence int) bool {
 	steps := len(w.Spec.Steps)
-	return !slices.ContainsFunc(w.Runs[occurrence*steps:(occurrence+1)*steps], func(r StepRun) bool { return !r.isUntouched() })
+	return !slices.ContainsFunc(w.Runs[occurrence*steps:(occurrence+1)*steps], func(r StepRun) bool { return !r.IsUntouched() })
 }
 
 // Run returns the run at the position, which is that of RunIndex.
@@ -277,12 +280,16 @@
 	return waitingRun(w.Spec.Steps[position%len(w.Spec.Steps)])
 }
 
+// endedRuns is the run without tasks that ended workflows share.
+var endedRuns = []StepRun{{}}
+
 // WithoutTasks returns a copy of an ended workflow that keeps only what callers may
 // still ask for. It has one run without tasks, as a workflow without any run was never
 // submitted.
 func (w Workflow) WithoutTasks() Workflow {
 	w.Spec = WorkflowSpec{ID: w.Spec.ID, Queue: w.Spec.Queue, Department: w.Spec.Department}
-	w.Runs = []StepRun{{}}
+	w.payloadBytes = 0
+	w.Runs = endedRuns
 	return w
 }
 
@@ -336,6 +343,7 @@
 	if len(w.Spec.Steps) == 0 {
 		return w
 	}
+	w.payloadBytes = encodedLength(w.Spec.Payload)
 	runs := slices.Clone(w.Runs)
 	for i, run := range runs {
 		runs[i] = run.Compact()
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -161,6 +161,7 @@
 	modeler.CodeUnauthenticated: http.StatusUnauthorized,
 	modeler.CodeForbidden:       http.StatusForbidden,
 	modeler.CodeTooLarge:        http.StatusRequestEntityTooLarge,
+	modeler.CodeExhausted:       http.StatusServiceUnavailable,
 }
 
 // refusalBody is the JSON body of a refusal.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -142,6 +142,10 @@
 	if j.Ended.IsZero() && j.IsDone() {
 		j = j.WithEnded(t.at)
 	}
+	if known, ok := t.Jobs.Get(j.Spec.ID); ok {
+		t.WorkBytes -= known.MemoryBytes()
+	}
+	t.WorkBytes += j.MemoryBytes()
 	t.Jobs = t.Jobs.Set(j.Spec.ID, j)
 	if j.Count(modeler.TaskWaiting) > 0 {
 		t.WaitingJobs = t.WaitingJobs.Set(j.Spec.ID, struct{}{})
--- a/internal/reducer/requests.go
+++ b/internal/reducer/requests.go
@@ -103,6 +103,7 @@
 	}
 	for _, j := range Values(t.Jobs) {
 		if !j.Ended.IsZero() && j.Ended.Before(t.command.Before) {
+			t.WorkBytes -= j.MemoryBytes()
 			t.Jobs = t.Jobs.Delete(j.Spec.ID)
 			t.markChanged(RecordJob, j.Spec.ID)
 		}
--- a/internal/reducer/state.go
+++ b/internal/reducer/state.go
@@ -67,6 +67,9 @@
 	// ActiveWorkflows holds the IDs of workflows that have not ended or whose
 	// tasks still hold resources; derived from Workflows.
 	ActiveWorkflows *Map[struct{}]
+	// WorkBytes is about how many bytes of memory the workflows and the jobs take; derived
+	// from Workflows and Jobs.
+	WorkBytes int64
 	// WaitingJobs holds the IDs of jobs that have a waiting task; derived from Jobs.
 	WaitingJobs *Map[struct{}]
 	// Usage holds the resources that the tasks of each department use; derived
--- a/internal/reducer/workflows.go
+++ b/internal/reducer/workflows.go
@@ -133,6 +133,10 @@
 			w = w.WithoutTasks()
 		}
 	}
+	if known, ok := t.Workflows.Get(w.Spec.ID); ok {
+		t.WorkBytes -= known.MemoryBytes()
+	}
+	t.WorkBytes += w.MemoryBytes()
 	t.Workflows = t.Workflows.Set(w.Spec.ID, w)
 	t.markChanged(RecordWorkflow, w.Spec.ID)
 }
@@ -385,6 +389,7 @@
 	for it := t.Workflows.Iterator(); !it.Done(); {
 		id, w, _ := it.Next()
 		if w.IsEnded() && w.Ended.Before(t.command.Before) && !w.HoldsResources() {
+			t.WorkBytes -= w.MemoryBytes()
 			t.Workflows = t.Workflows.Delete(id)
 			t.markChanged(RecordWorkflow, id)
 		}
--- a/internal/responder/cell_test.go
+++ b/internal/responder/cell_test.go
@@ -27,6 +27,8 @@
 	workerLease  = 5 * time.Second
 	entryLease   = 2 * time.Second
 	networkDelay = time.Millisecond
+	// workBytes is the memory for work.
+	workBytes = 4 << 20
 )
 
 var errUnreachable = errors.New("peer is unreachable")
@@ -154,12 +156,13 @@
 	}
 	options := controller.Options{
 		WorkerLease: workerLease, EntryLease: entryLease, RenewInterval: time.Second,
-		KeepLostWorkers: time.Minute, KeepJobs: time.Hour, Push: c.push,
+		KeepLostWorkers: time.Minute, KeepJobs: time.Hour, KeepJobsLeast: 2 * time.Minute, WorkBytes: workBytes,
+		Push: c.push,
 	}
 	manager := controller.NewManager(replica, options, zap.NewNop())
 	handler := responder.New(replica, manager, responder.Options{
 		WorkerLease: workerLease, EntryLease: entryLease, RenewInterval: time.Second,
-		Log: zap.NewNop(), LearnAddress: func(messenger.RaftBatch) {},
+		Log: zap.NewNop(), LearnAddress: func(messenger.RaftBatch) {}, WorkBytes: workBytes,
 	})
 	m.mutex.Lock()
 	m.current = components{replica, handler}
--- a/internal/responder/jobs.go
+++ b/internal/responder/jobs.go
@@ -18,6 +18,9 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if _, known := r.coordinator.State().Jobs.Get(spec.ID); !known && r.room() <= 0 {
+		return nil, exhausted()
+	}
 	_, err := r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitJob, Actor: call.Actor, Job: &call.Job})
 	if err != nil {
 		return nil, err
--- a/internal/responder/responder.go
+++ b/internal/responder/responder.go
@@ -31,6 +31,8 @@
 	WorkerLease   time.Duration
 	EntryLease    time.Duration
 	RenewInterval time.Duration
+	// WorkBytes bounds the memory that accepted work takes, in bytes; zero means no bound.
+	WorkBytes int64
 	// LearnAddress records the address of the member that sent a batch. Never nil.
 	LearnAddress func(batch messenger.RaftBatch)
 	// KnownAddresses returns the addresses of control that the process knows besides the
@@ -144,7 +146,7 @@
 // a refusal is valid only if the member is confirmed as leader.
 func dependsOnState(code modeler.RefusalCode) bool {
 	switch code {
-	case modeler.CodeNotLeader, modeler.CodeOverloaded, modeler.CodeUnknownOutcome, modeler.CodeInvalid:
+	case modeler.CodeNotLeader, modeler.CodeOverloaded, modeler.CodeUnknownOutcome, modeler.CodeInvalid, modeler.CodeExhausted:
 		return false
 	default:
 		return true
--- a/internal/responder/submissions.go
+++ b/internal/responder/submissions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"github.com/samphirewick/samphirewick/internal/modeler"
@@ -13,6 +14,8 @@
 type submissions struct {
 	mutex   sync.Mutex
 	pending map[submissionKey]*submission
+	// bytes is the memory that the pending submissions will take.
+	bytes int64
 }
 
 // submissionKey identifies a submission. Departments that submit the same ID don't share
@@ -27,9 +30,10 @@
 }
 
 // commit runs propose, or waits for the result of the same submission
-// that runs already, until the context ends.
+// that runs already, until the context ends. It runs propose only if the room, in bytes, is
+// enough for the submission and for all that run.
 func (s *submissions) commit(
-	ctx context.Context, key submissionKey, propose func() (reducer.Result, error),
+	ctx context.Context, key submissionKey, bytes, room int64, propose func() (reducer.Result, error),
 ) (reducer.Result, error) {
 	s.mutex.Lock()
 	running, ok := s.pending[key]
@@ -42,6 +46,11 @@
 			return reducer.Result{}, modeler.Refuse(modeler.CodeUnknownOutcome, "", "the submission was not committed in time")
 		}
 	}
+	if s.bytes+bytes > room {
+		s.mutex.Unlock()
+		return reducer.Result{}, exhausted()
+	}
+	s.bytes += bytes
 	if s.pending == nil {
 		s.pending = map[submissionKey]*submission{}
 	}
@@ -51,7 +60,21 @@
 	started.result, started.err = propose()
 	s.mutex.Lock()
 	delete(s.pending, key)
+	s.bytes -= bytes
 	s.mutex.Unlock()
 	close(started.done)
 	return started.result, started.err
 }
+
+// room returns how many bytes of memory are left for more work.
+func (r *Responder) room() int64 {
+	if r.options.WorkBytes == 0 {
+		return math.MaxInt64
+	}
+	return r.options.WorkBytes - r.coordinator.State().WorkBytes
+}
+
+// exhausted returns the refusal of work for which there is no memory.
+func exhausted() *modeler.RefusalError {
+	return modeler.Refuse(modeler.CodeExhausted, "", "the cell has no memory for more work until some has ended")
+}
--- a/internal/responder/workflows.go
+++ b/internal/responder/workflows.go
@@ -90,7 +90,8 @@
 		return routed.receipt(), nil
 	}
 	key := submissionKey{workflow: id, department: routed.department}
-	result, err := r.submissions.commit(ctx, key, func() (reducer.Result, error) {
+	bytes := modeler.NewWorkflow(spec, time.Time{}).MemoryBytes()
+	result, err := r.submissions.commit(ctx, key, bytes, r.room(), func() (reducer.Result, error) {
 		return r.propose(ctx, reducer.Command{Kind: reducer.KindSubmitWorkflow, Workflow: &spec})
 	})
 	submitted, _ := r.coordinator.State().Workflows.Get(id)
@@ -130,6 +131,10 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if _, known := r.coordinator.State().Workflows.Get(routed.id); !known && r.room() <= 0 {
+		// The cancellation of an unknown workflow is recorded too.
+		return nil, exhausted()
+	}
 	result, err := r.propose(ctx, reducer.Command{
 		Kind:     reducer.KindCancelWorkflow,
 		Workflow: &modeler.WorkflowSpec{ID: routed.id, Queue: routed.queue.Name, Department: routed.department},
--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -44,6 +44,8 @@
 // waitingWorkflow is a workflow with the ready steps of its occurrences that are due.
 type waitingWorkflow struct {
 	workflow modeler.Workflow
+	// queue is set by ordered.
+	queue modeler.Queue
 	// steps are the ready steps of the occurrences before next.
 	steps []readyStep
 	// next is the first occurrence whose steps were not added yet.
@@ -55,7 +57,7 @@
 // addDue adds the ready steps of the occurrences that are due at the time now, up to
 // maxUnbegunSteps.
 func (e *waitingWorkflow) addDue(now time.Time) {
-	w := e.workflow
+	w := &e.workflow
 	for e.next < w.OccurrenceCount() && e.unbegun < maxUnbegunSteps && !w.DueAt(e.next).After(now) {
 		steps := readySteps(w, e.next)
 		e.steps = append(e.steps, steps...)
@@ -68,10 +70,11 @@
 
 // readyStep is a step whose dependencies are met and that has tasks to start.
 type readyStep struct {
-	name     adviser.StepName
-	workflow modeler.Workflow
-	queue    modeler.Queue
-	step     modeler.StepSpec
+	name adviser.StepName
+	// workflow, queue and step are shared by the ready steps of a workflow.
+	workflow *modeler.Workflow
+	queue    *modeler.Queue
+	step     *modeler.StepSpec
 	run      modeler.StepRun
 	// waiting holds the indexes of the waiting tasks.
 	waiting []int
@@ -90,9 +93,10 @@
 // readySteps returns the steps of an occurrence that have tasks to start. It
 // leaves queue, due and deadlineClass unset: these depend on the queue table and
 // the time, and ordered sets them.
-func readySteps(w modeler.Workflow, occurrence int) []readyStep {
+func readySteps(w *modeler.Workflow, occurrence int) []readyStep {
 	var steps []readyStep
-	for step, spec := range w.Spec.Steps {
+	for step := range w.Spec.Steps {
+		spec := &w.Spec.Steps[step]
 		run := w.Run(occurrence*len(w.Spec.Steps) + step)
 		waiting := waitingTasks(spec, run)
 		if len(waiting) == 0 || !w.DependenciesFinished(occurrence, step) {
@@ -134,14 +138,15 @@
 	var steps []*readyStep
 	band := shareBands(state)
 	for _, entry := range b.waiting {
+		queue, ok := state.Queues.Get(entry.workflow.Spec.Queue)
+		if !ok {
+			continue
+		}
+		entry.queue = queue
 		entry.addDue(now)
 		for i := range entry.steps {
 			r := &entry.steps[i]
-			queue, ok := state.Queues.Get(r.workflow.Spec.Queue)
-			if !ok {
-				continue
-			}
-			r.queue = queue
+			r.queue = &entry.queue
 			r.due, r.deadlineClass = r.classifyDeadline(now)
 			r.beyondRate, r.shareBand = 0, 0
 			if band != nil && r.workflow.Spec.Department != "" {
@@ -167,8 +172,22 @@
 	return steps
 }
 
-// waitingTasks returns the indexes of the tasks that may start: of a gang all or none.
-func waitingTasks(step modeler.StepSpec, run modeler.StepRun) []int {
+// taskIndexes holds the indexes of the tasks of the widest step. Steps of which no task has
+// started share them.
+var taskIndexes = func() []int {
+	indexes := make([]int, modeler.MaxTasksPerJob)
+	for i := range indexes {
+		indexes[i] = i
+	}
+	return indexes
+}()
+
+// waitingTasks returns the indexes of the tasks that may start: of a gang all or none. They
+// must not be changed in place.
+func waitingTasks(step *modeler.StepSpec, run modeler.StepRun) []int {
+	if count := len(run.Tasks); run.IsUntouched() && count <= len(taskIndexes) {
+		return taskIndexes[:count:count]
+	}
 	var waiting []int
 	for i, task := range run.Tasks {
 		if task.Phase == modeler.TaskWaiting && !task.HoldsResources() {
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -74,7 +74,7 @@
 }
 
 func workloadOf(r *readyStep) profiler.Workload {
-	return profiler.WorkloadOf(r.step, r.workflow.Spec.Queue)
+	return profiler.WorkloadOf(*r.step, r.workflow.Spec.Queue)
 }
 
 // rank returns the rank of a session for a task of the step, with the interference.
--- a/internal/scheduler/permits.go
+++ b/internal/scheduler/permits.go
@@ -52,7 +52,7 @@
 // sendRequest sends a request for the sessions of the claim, and records the claim. It
 // reports whether an entry took the request.
 func (p *plan) sendRequest(ctx context.Context, r *readyStep, claim claimer.Claim) bool {
-	pool, class := p.pool(r.queue.Service), adviser.ClassOf(r.queue, len(claim.Sessions), claim.Renews && p.gathers(r))
+	pool, class := p.pool(r.queue.Service), adviser.ClassOf(*r.queue, len(claim.Sessions), claim.Renews && p.gathers(r))
 	if p.saturated[class] {
 		return false
 	}
@@ -60,7 +60,7 @@
 	for i, key := range claim.Sessions {
 		sessions[i] = pool.byKey[key].session
 	}
-	if !p.scheduler.options.Adviser.RequestPermits(ctx, r.queue, r.name, sessions, class) {
+	if !p.scheduler.options.Adviser.RequestPermits(ctx, *r.queue, r.name, sessions, class) {
 		p.saturated[class] = true
 		return false
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -170,7 +170,7 @@
 		return
 	}
 	switch {
-	case !r.step.Gang && adviser.IsLong(r.queue):
+	case !r.step.Gang && adviser.IsLong(*r.queue):
 		p.gatherForStep(ctx, r, missing, permits)
 	case !r.step.Gang:
 		p.requestPermits(ctx, r, missing, permits)
