fix: a refusal does not hide an earlier try that may have been carried out

Cause: Caller.Call tries a call again whose answer doesn't come, and returned the refusal of the last try as it was. It is true of that try alone. The record of a run: 6.176 s POST, 6.178 s the job's task starts, 7.280 s, when the cut has healed and the route is gone, answer 404. CallFollower forgot in the same way what a follower may have carried out.

Why it works: once a try may have been carried out, a refusal makes the outcome unknown (504), whatever its reason, but for calls that only read and for refusals of what the call itself holds. A call whose first try is refused hears it at once.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -86,10 +86,14 @@
 
 // Call calls the leader, and retries until it has an answer or the context ends.
 // The error is a refusal: CodeUnknownOutcome means that the call may have been
-// carried out, CodeUnavailable that it was not.
+// carried out, any other code that it was not.
 func (c *Caller) Call(ctx context.Context, method string, params, result any) error {
+	return c.call(ctx, method, params, result, false)
+}
+
+// call calls the leader as Call does. maybeSent is true if the call may have been carried out.
+func (c *Caller) call(ctx context.Context, method string, params, result any, maybeSent bool) error {
 	backoff := initialBackoff
-	maybeSent := false
 	for {
 		client, err := c.findLeader(ctx)
 		if err == nil {
@@ -100,7 +104,7 @@
 		}
 		var refusal *modeler.RefusalError
 		if errors.As(err, &refusal) && !isRetryable(refusal.Code) {
-			return refusal
+			return refusalOfTry(method, refusal, maybeSent)
 		}
 		maybeSent = maybeSent || errors.Is(err, transporter.ErrOutcomeUnknown) || hasCode(refusal, modeler.CodeUnknownOutcome)
 		select {
@@ -117,6 +121,7 @@
 // calls that any member can answer as a rule. A member that answers no call for
 // followerTimeout is not called for a while.
 func (c *Caller) CallFollower(ctx context.Context, method string, params, result any) error {
+	maybeSent := false
 	if client, ok := c.nextFollower(); ok {
 		began := time.Now()
 		followerCtx, cancel := context.WithTimeout(ctx, followerTimeout)
@@ -129,11 +134,15 @@
 			return nil
 		case errors.As(err, &refusal):
 			c.recordAnswer(client)
-		case ctx.Err() == nil && !c.hasAnsweredSince(client, began):
+			maybeSent = refusal.Code == modeler.CodeUnknownOutcome
+		default:
+			maybeSent = errors.Is(err, transporter.ErrOutcomeUnknown)
+		}
+		if refusal == nil && ctx.Err() == nil && !c.hasAnsweredSince(client, began) {
 			c.avoid(client)
 		}
 	}
-	return c.Call(ctx, method, params, result)
+	return c.call(ctx, method, params, result, maybeSent)
 }
 
 // avoid makes calls that any member can answer pass over the member for a while, and
@@ -169,6 +178,46 @@
 	return modeler.Refuse(modeler.CodeUnavailable, "", "no leader of control was reached")
 }
 
+// refusalOfTry returns the refusal of a call whose last try got the refusal. An earlier try
+// that may have been carried out makes the outcome unknown, unless the call only reads, or is
+// refused for what it holds, as each of its tries is.
+func refusalOfTry(method string, refusal *modeler.RefusalError, maybeSent bool) *modeler.RefusalError {
+	if !maybeSent || readMethods[method] || dependsOnCallAlone(refusal.Code) {
+		return refusal
+	}
+	unknown := modeler.Refuse(modeler.CodeUnknownOutcome, refusal.Field,
+		"an earlier try may have been carried out; the last one was refused: %s", refusal.Reason)
+	unknown.QueueTable = refusal.QueueTable
+	return unknown
+}
+
+// dependsOnCallAlone reports whether a call that is refused with the code is refused at any time.
+func dependsOnCallAlone(code modeler.RefusalCode) bool {
+	switch code {
+	case modeler.CodeInvalid, modeler.CodeUnsupported, modeler.CodeTooLarge:
+		return true
+	default:
+		return false
+	}
+}
+
+// readMethods are the methods that change nothing.
+var readMethods = map[string]bool{
+	messenger.MethodWatch:          true,
+	messenger.MethodInForce:        true,
+	messenger.MethodGetDocuments:   true,
+	messenger.MethodGetJob:         true,
+	messenger.MethodListJobs:       true,
+	messenger.MethodAudit:          true,
+	messenger.MethodInterference:   true,
+	messenger.MethodStatus:         true,
+	messenger.MethodMembers:        true,
+	messenger.MethodGetWorkflow:    true,
+	messenger.MethodGetQueue:       true,
+	messenger.MethodGetQueueTable:  true,
+	messenger.MethodGetDepartments: true,
+}
+
 func hasCode(r *modeler.RefusalError, code modeler.RefusalCode) bool {
 	return r != nil && r.Code == code
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -37,6 +37,8 @@
 	isSlow   atomic.Bool
 	released chan struct{}
 	members  []replicator.Member
+	// refusal is returned to any other call but confirm, unless it is nil.
+	refusal atomic.Pointer[modeler.RefusalError]
 }
 
 func newFakeMember(t *testing.T) *fakeMember {
@@ -64,6 +66,9 @@
 
 func (m *fakeMember) handle(ctx context.Context, method string, _ json.RawMessage) (any, error) {
 	if m.unresponsive.Load() {
+		if method != messenger.MethodLocate {
+			m.noteArrival()
+		}
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -80,19 +85,26 @@
 		return struct{}{}, nil
 	}
 	m.works.Add(1)
-	select {
-	case m.arrived <- struct{}{}:
-	default:
-	}
+	m.noteArrival()
 	if m.isSlow.Load() {
 		<-m.released
 	}
 	if !m.isLeader.Load() {
 		return nil, modeler.Refuse(modeler.CodeNotLeader, "", "this member does not lead")
 	}
+	if refusal := m.refusal.Load(); refusal != nil {
+		return nil, refusal
+	}
 	return struct{}{}, nil
 }
 
+func (m *fakeMember) noteArrival() {
+	select {
+	case m.arrived <- struct{}{}:
+	default:
+	}
+}
+
 func call(t *testing.T, c *Caller, wait time.Duration) error {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), wait)
