fix: the text of a configuration is stored compressed, not as part of commands

Each level that wraps it counts against the 10,000 that the decoder reads, so that a leader appended what no member could decode; and each encoder escapes it again.

Why it works: the text is encoded as a compressed string, in which nothing is nested or escaped; the form of earlier releases is still read. A command that is nested more than 9,000 levels otherwise (payloads, documents) is refused before it is proposed.

--- a/internal/messenger/workflows.go
+++ b/internal/messenger/workflows.go
@@ -1,7 +1,6 @@
 package messenger
 
 import (
-	"encoding/json"
 	"slices"
 
 	"github.com/samphirewick/samphirewick/internal/modeler"
@@ -93,8 +92,8 @@
 
 // QueueTableAnswer is the queue table in force, with its original encoding.
 type QueueTableAnswer struct {
-	Version uint64          `json:"version"`
-	Raw     json.RawMessage `json:"raw"`
+	Version uint64             `json:"version"`
+	Raw     modeler.SourceText `json:"raw"`
 }
 
 // LocateAnswer lists the members of control, and reports whether the answering member leads.
--- a/internal/modeler/queuetable.go
+++ b/internal/modeler/queuetable.go
@@ -1,7 +1,6 @@
 package modeler
 
 import (
-	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -62,7 +61,7 @@
 	// needs a key.
 	Departments []Department `json:"departments,omitempty"`
 	// Raw is the table as it was submitted.
-	Raw json.RawMessage `json:"raw,omitempty"`
+	Raw SourceText `json:"raw,omitempty"`
 	// departmentsByKey indexes Departments by key; nil if the table has no index.
 	departmentsByKey map[string]Department
 }
--- a/internal/reducer/command.go
+++ b/internal/reducer/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/samphirewick/samphirewick/internal/modeler"
@@ -169,9 +170,43 @@
 	return ""
 }
 
-// Encode returns the command in the form in which the log stores it.
+// maxNesting is how deeply the values of a command may be nested. The decoder refuses 10,000
+// levels, and messages and the journal wrap a command in some more.
+const maxNesting = 9000
+
+// Encode returns the command in the form in which the log stores it. It refuses a command that
+// members could not decode.
 func (c Command) Encode() ([]byte, error) {
-	return json.Marshal(c)
+	data, err := json.Marshal(c)
+	if err == nil && nesting(data) > maxNesting {
+		return nil, fmt.Errorf("values are nested more than %d levels deep", maxNesting)
+	}
+	return data, err
+}
+
+// nesting returns how many levels deep the values of valid JSON are nested, or zero if it is too
+// short for more than maxNesting.
+func nesting(data []byte) int {
+	if len(data) <= 2*maxNesting {
+		return 0
+	}
+	depth, deepest, inString := 0, 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case inString && c == '\\':
+			i++
+		case c == '"':
+			inString = !inString
+		case inString:
+		case c == '[' || c == '{':
+			depth++
+			deepest = max(deepest, depth)
+		case c == ']' || c == '}':
+			depth--
+		default:
+		}
+	}
+	return deepest
 }
 
 // DecodeCommand decodes a command that Encode encoded.
