--- a/internal/reducer/occurrences_test.go
+++ b/internal/reducer/occurrences_test.go
@@ -117,6 +117,9 @@
 	if !reflect.DeepEqual(Values(restored.Workflows), Values(f.state.Workflows)) {
 		t.Error("the restored workflows differ")
 	}
+	if restored.WorkBytes != f.state.WorkBytes {
+		t.Errorf("the restored work takes %d bytes, want %d", restored.WorkBytes, f.state.WorkBytes)
+	}
 }
 
 // Guards against a workflow that is taken for finished while occurrences have not begun, and
