--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Plays the case "flapped" and writes record.txt beside this file. It exits with 1 if the rule was
+# Plays the case "stalled" and writes record.txt beside this file. It exits with 1 if the rule was
 # broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$here/../..
@@ -10,4 +10,4 @@
   fi
 done
 cd "$root" || exit 2
-exec target/standin-3 --root . --record "$here/record.txt" flapped
+exec target/standin-3 --root . --record "$here/record.txt" stalled
--- a/review/standin-3/stalled.go
+++ b/review/standin-3/stalled.go
@@ -34,7 +34,7 @@
 	// snapshotPeriod the number of entries to the next, both while all entries are changes of the
 	// grown configuration. The case only aims by them; the log of the leader tells where it took one.
 	firstSnapshot  = 73
-	snapshotPeriod = 65
+	snapshotPeriod = 66
 	// aimedBefore is how many entries the aim lies before the snapshot.
 	aimedBefore = 5
 )
@@ -49,6 +49,12 @@
 
 // put sends the next version of the configuration to the leader, and reports whether it was acknowledged.
 func (s *storm) put(note string) bool {
+	_, ok := s.putVersion(note)
+	return ok
+}
+
+// putVersion does the same, and returns the version, too.
+func (s *storm) putVersion(note string) (int, bool) {
 	s.mutex.Lock()
 	s.version++
 	version := s.version
@@ -57,7 +63,7 @@
 	began := time.Now()
 	status, answer := s.p.client.call("POST", at(machineIP(s.leader), s.p.cell.ports.control), "/api/config/put", "", body)
 	s.p.record.add("operator: version %d %s -> %d %.60s after %d ms", version, note, status, answer, time.Since(began).Milliseconds())
-	return status == 200
+	return version, status == 200
 }
 
 // grow sends changes until the log of the leader ends at the index.
@@ -95,7 +101,7 @@
 	}
 	const lastRoundBegins = 45 * time.Second
 	isBehind := false
-	for next := uint64(firstSnapshot); !isBehind && time.Since(p.record.began) < lastRoundBegins; next += snapshotPeriod {
+	for next := uint64(firstSnapshot); !isBehind && time.Since(p.record.began) < lastRoundBegins; {
 		// The gauge follows the log with a lag.
 		pause(ctx, 2200*time.Millisecond)
 		if err := s.grow(ctx, uint64(p.gauge(leader, "revision")), next-aimedBefore); err != nil {
@@ -111,6 +117,8 @@
 		behind, ahead := p.gauge(frozen, "revision"), p.gauge(leader, "revision")
 		p.record.add("the log of machine %d ends at %v, that of the leader at %v", frozen, behind, ahead)
 		isBehind = behind < ahead
+		// The entries that came while the snapshot was taken count for the next one.
+		next = uint64(ahead) + snapshotPeriod
 	}
 	return p.lose(ctx, s, lost)
 }
@@ -125,11 +133,8 @@
 		stallTime  = 95 * time.Millisecond
 	)
 	signal := func(machine int, sent syscall.Signal) {
-		if !p.trouble || p.onlyLoss {
-			return
-		}
-		for _, role := range []string{"control", "entry"} {
-			p.cell.signal(fmt.Sprintf("%s-%d", role, machine), sent)
+		if !p.onlyLoss {
+			p.disturb(machine, sent)
 		}
 	}
 	began := time.Now()
@@ -170,9 +175,7 @@
 	pause(ctx, time.Second)
 	if p.trouble {
 		p.record.add("machine %d is lost for good", lost)
-		for _, role := range []string{"control", "entry"} {
-			p.cell.signal(fmt.Sprintf("%s-%d", role, lost), syscall.SIGKILL)
-		}
+		p.disturb(lost, syscall.SIGKILL)
 		p.cell.replaced = lost
 		pause(ctx, 2*time.Second)
 		p.record.add("machine %d replaces it, with an empty disk", machineCount+1)
