--- a/review/standin-3/wiped.go
+++ b/review/standin-3/wiped.go
@@ -35,7 +35,7 @@
 	pause(ctx, 3*time.Second)
 	s := &storm{p: p}
 	const lastRoundBegins = 50 * time.Second
-	for next := uint64(firstSnapshot); time.Since(p.record.began) < lastRoundBegins; next += snapshotPeriod {
+	for next := uint64(firstSnapshot); time.Since(p.record.began) < lastRoundBegins; {
 		if s.leader = p.leader(ctx); s.leader == 0 {
 			return verdict{}, errors.New("no leader")
 		}
@@ -58,6 +58,7 @@
 		}
 		if p.trouble && !isWiped {
 			pause(ctx, catchUpTime)
+			next = uint64(p.gauge(s.leader, "revision")) + snapshotPeriod
 			continue
 		}
 		if held := p.readBack(ctx); held < newest {
@@ -65,6 +66,10 @@
 				"CONFIG: version %d was acknowledged, and %.0f s after all machines are back the configuration that is read back is version %d",
 				newest, recoverTime.Seconds(), held)}}, ctx.Err()
 		}
+		if s.leader = p.leader(ctx); s.leader == 0 {
+			return verdict{}, errors.New("no leader")
+		}
+		next = uint64(p.gauge(s.leader, "revision")) + snapshotPeriod
 	}
 	return verdict{}, ctx.Err()
 }
