test: count permit requests of the scheduler fixture atomically

What was seen: the race detector failed TestGangDoesNotWaitForWorkerThatStaysFull, and the tests that ran beside it, in 8 of 24 runs of

go test -race -run TestGang -count=5 ./internal/scheduler

Cause: the adviser requests permits for several steps at once, each in a goroutine. requestPermits of the fixture in plan_test.go counted the calls in a plain int. No program of the project is concerned.

The count is an atomic.Int32 now. No check, bound or expected value changes.

--- a/internal/scheduler/departments_test.go
+++ b/internal/scheduler/departments_test.go
@@ -131,9 +131,9 @@
 				for _, s := range p.starts {
 					starts[s.task.Workflow[0]]++
 				}
-				if starts['a'] != tt.want || starts['b'] != 18 || f.permitCalls > 0 || len(p.kept) > 0 {
+				if starts['a'] != tt.want || starts['b'] != 18 || f.permitCalls.Load() > 0 || len(p.kept) > 0 {
 					t.Errorf("%d starts, %d of others, %d permit requests, kept %v; want %d, 18 and neither", starts['a'],
-						starts['b'], f.permitCalls, p.kept, tt.want)
+						starts['b'], f.permitCalls.Load(), p.kept, tt.want)
 				}
 			})
 		})
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,8 +28,9 @@
 	unreachable []string
 	// permitted are the workers that the policy service permits to run steps of the
 	// queue with a permit policy.
-	permitted   []string
-	permitCalls int
+	permitted []string
+	// permitCalls counts the permit requests, several of which may run at once.
+	permitCalls atomic.Int32
 	stopped     []modeler.Attempt
 }
 
@@ -74,7 +76,7 @@
 }
 
 func (f *fixture) requestPermits(_ context.Context, _ string, _ adviser.StepName, workers []string) (adviser.Decision, error) {
-	f.permitCalls++
+	f.permitCalls.Add(1)
 	tickets := map[string]string{}
 	for _, w := range workers {
 		if slices.Contains(f.permitted, w) {
@@ -271,8 +273,8 @@
 		if got := f.round("job"); !slices.Equal(got, []string{"w2@1", "w2@1"}) {
 			t.Errorf("tasks started on %v, want two on w2@1", got)
 		}
-		if f.permitCalls != 1 {
-			t.Errorf("policy service got %d calls, want 1", f.permitCalls)
+		if f.permitCalls.Load() != 1 {
+			t.Errorf("policy service got %d calls, want 1", f.permitCalls.Load())
 		}
 	})
 }
@@ -333,7 +335,7 @@
 					synctest.Wait()
 					time.Sleep(100 * time.Millisecond)
 				}
-				calls := f.permitCalls
+				calls := f.permitCalls.Load()
 				f.submit("plain", "small", stepOf(11, 2))
 				if got := f.round("small"); len(got) != 11 {
 					t.Errorf("less urgent tasks started on %v, want all 11", got)
@@ -343,8 +345,8 @@
 					synctest.Wait()
 					time.Sleep(100 * time.Millisecond)
 				}
-				if f.permitCalls != calls {
-					t.Errorf("%d more permit requests for a gang that does not fit", f.permitCalls-calls)
+				if f.permitCalls.Load() != calls {
+					t.Errorf("%d more permit requests for a gang that does not fit", f.permitCalls.Load()-calls)
 				}
 			})
 		})
@@ -478,8 +480,8 @@
 		}
 		f.round("job00")
 		synctest.Wait()
-		if f.permitCalls != 1 {
-			t.Errorf("requested permits for %d steps with capacity for one", f.permitCalls)
+		if f.permitCalls.Load() != 1 {
+			t.Errorf("requested permits for %d steps with capacity for one", f.permitCalls.Load())
 		}
 	})
 }
@@ -496,7 +498,7 @@
 		f.round("night")
 		synctest.Wait()
 		if got := f.round("night"); len(got) != 1 {
-			t.Errorf("task started on %v after %d permit requests, want one start", got, f.permitCalls)
+			t.Errorf("task started on %v after %d permit requests, want one start", got, f.permitCalls.Load())
 		}
 	})
 }
@@ -521,7 +523,7 @@
 		f.round("job")
 		synctest.Wait()
 		if got := f.round("job"); len(got) != 1 {
-			t.Errorf("task started on %v after %d permit requests, want one start", got, f.permitCalls)
+			t.Errorf("task started on %v after %d permit requests, want one start", got, f.permitCalls.Load())
 		}
 	})
 }
