feat: the leader logs stalled commits, and acknowledged entries that are missing

No log line or metric of control told why: `rejections` in `leader load` grew, as it also does after lost messages.

The hypotheses that the logs could not tell apart: the members don't answer, the disks are slow, or a member answers and takes no entries.

- `nothing is committed although a quorum answers` each second, with the lag of each member, and the gauge `commit_stalled` (seconds).
- `a member lacks entries that it acknowledged`, and `lostAcknowledged` in `replication`: a member rejects an append after an entry that it has acknowledged, and the append was sent later than what it acknowledged.

--- a/internal/controller/loadreport.go
+++ b/internal/controller/loadreport.go
@@ -110,6 +110,7 @@
 	if l.options.Scope != nil {
 		l.options.Scope.Gauge("steps_waiting").Update(float64(sum.waitingSteps))
 		l.options.Scope.Gauge("loop_delay").Update(delay.Seconds())
+		l.options.Scope.Gauge("commit_stalled").Update(l.coordinator.CommitStalledFor().Seconds())
 		l.recordInterference()
 	}
 	level := zap.InfoLevel
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -119,7 +119,9 @@
 	// loopDelay is the longest delay of a tick since TakeLoopDelay was last called, in
 	// nanoseconds.
 	loopDelay atomic.Int64
-	members   atomic.Pointer[[]MemberStatus]
+	// commitStalledFor is what CommitStalledFor returns, in nanoseconds.
+	commitStalledFor atomic.Int64
+	members          atomic.Pointer[[]MemberStatus]
 	// replicationStats are those of the core at the end of the last turn of the event loop.
 	replicationStats atomic.Pointer[replicator.Stats]
 	// identity is written by the event loop only.
@@ -149,7 +151,14 @@
 	// proposedChange is the last change of the membership that this member has proposed.
 	proposedChange       proposedChange
 	nextMissingQuorumLog time.Duration
-	nextDiskCheck        time.Duration
+	// lastCommit is the commit index at the last tick, lastCommitAt the last tick at which it
+	// had risen, no entry waited, or this member held no lease.
+	lastCommit           uint64
+	lastCommitAt         time.Duration
+	nextStalledCommitLog time.Duration
+
+	nextLostAcknowledgedLog time.Duration
+	nextDiskCheck           time.Duration
 }
 
 // pendingProposal is a proposal whose entry is in the log and not yet applied.
@@ -292,6 +301,7 @@
 			c.core.Tick(c.Now())
 			c.checkMembership()
 			c.logMissingQuorum()
+			c.checkCommit()
 			c.checkDisk()
 		}
 		if err := c.processReady(); err != nil {
--- a/internal/coordinator/quorumlog.go
+++ b/internal/coordinator/quorumlog.go
@@ -14,6 +14,14 @@
 	missingQuorumLogAfter = time.Second
 	// missingQuorumLogInterval is the minimum interval of that log line.
 	missingQuorumLogInterval = time.Second
+	// stalledCommitLogAfter is the time without a commit after which a leader that holds its
+	// lease logs which members answer. A commit takes two syncs.
+	stalledCommitLogAfter = time.Second
+	// stalledCommitLogInterval is the minimum interval of that log line.
+	stalledCommitLogInterval = time.Second
+	// lostAcknowledgedLogInterval is the minimum interval of the log line on entries that a
+	// member acknowledged and lacks.
+	lostAcknowledgedLogInterval = time.Second
 	// neverHeard is logged instead of the time since a member was heard.
 	neverHeard = -1
 )
@@ -76,6 +84,43 @@
 		zap.Uint64("commit", c.core.Commit()), zap.Any("members", members))
 }
 
+// checkCommit records since when this leader has committed nothing although entries wait and
+// a quorum renews its lease, and logs at most once per stalledCommitLogInterval how far
+// behind each member is.
+func (c *Coordinator) checkCommit() {
+	now, commit := c.Now(), c.core.Commit()
+	if c.core.LeaseUntil() <= now || commit == c.core.LastIndex() || commit != c.lastCommit {
+		c.lastCommit, c.lastCommitAt = commit, now
+	}
+	stalled := now - c.lastCommitAt
+	c.commitStalledFor.Store(int64(stalled))
+	if stalled < stalledCommitLogAfter || now < c.nextStalledCommitLog {
+		return
+	}
+	c.nextStalledCommitLog = now + stalledCommitLogInterval
+	c.options.Log.Error("nothing is committed although a quorum answers", zap.Duration("for", stalled),
+		zap.Uint64("term", c.core.Term()), zap.Uint64("commit", commit), zap.Uint64("lastIndex", c.core.LastIndex()),
+		zap.Any("members", c.Members()))
+}
+
+// CommitStalledFor returns for how long this leader has committed nothing although entries
+// wait and a quorum renews its lease. It is zero for a follower.
+func (c *Coordinator) CommitStalledFor() time.Duration {
+	return time.Duration(c.commitStalledFor.Load())
+}
+
+// logLostAcknowledged logs at most once per lostAcknowledgedLogInterval that a member lacks
+// entries that it acknowledged, with the count of such rejections since the start.
+func (c *Coordinator) logLostAcknowledged(rejections uint64) {
+	now := c.Now()
+	if now < c.nextLostAcknowledgedLog {
+		return
+	}
+	c.nextLostAcknowledgedLog = now + lostAcknowledgedLogInterval
+	c.options.Log.Error("a member lacks entries that it acknowledged", zap.Uint64("rejections", rejections),
+		zap.Uint64("commit", c.core.Commit()), zap.Uint64("lastIndex", c.core.LastIndex()), zap.Any("members", c.Members()))
+}
+
 // recordProposedChange keeps what logCommittedChange needs once the change is committed.
 func (c *Coordinator) recordProposedChange(index uint64, reason string, before []heardMember) {
 	c.proposedChange = proposedChange{index: index, reason: reason, proposedAt: c.Now(), heard: before}
--- a/internal/coordinator/stats.go
+++ b/internal/coordinator/stats.go
@@ -18,8 +18,13 @@
 func (c *Coordinator) TakeLoopDelay() time.Duration { return time.Duration(c.loopDelay.Swap(0)) }
 
 func (c *Coordinator) publishReplicationStats() {
-	if stats := c.core.Stats(); stats != *c.replicationStats.Load() {
-		c.replicationStats.Store(&stats)
+	stats, before := c.core.Stats(), *c.replicationStats.Load()
+	if stats == before {
+		return
+	}
+	c.replicationStats.Store(&stats)
+	if lost := stats.Since(before).LostAcknowledged; lost > 0 {
+		c.logLostAcknowledged(stats.LostAcknowledged)
 	}
 }
 
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -19,6 +19,8 @@
 type progress struct {
 	// matchIndex is the index of the last entry known to be on the member's disk.
 	matchIndex uint64
+	// matchSentAt is the SentAt of the message whose answer raised matchIndex last.
+	matchSentAt time.Duration
 	// nextIndex is the index of the next entry to send; it is always above matchIndex.
 	nextIndex uint64
 	// ackedSentAt is the latest SentAt of a message that the member has answered.
@@ -282,10 +284,15 @@
 	}
 	if m.Reject {
 		c.stats.Rejections++
+		if c.lacksAcknowledged(m, p) {
+			c.stats.LostAcknowledged++
+		}
 		c.handleReject(m, p)
 		return
 	}
-	p.matchIndex = max(p.matchIndex, m.Index)
+	if m.Index > p.matchIndex {
+		p.matchIndex, p.matchSentAt = m.Index, m.SentAt
+	}
 	if p.matchIndex >= c.compactedIndex {
 		// The snapshot has arrived, even if the reply to it was lost.
 		p.snapshotSentAt = 0
@@ -301,6 +308,14 @@
 	c.sendNewEntries(m.From, p)
 }
 
+// lacksAcknowledged reports whether the rejection shows that the member lacks an entry that
+// it has acknowledged: it rejects an append after such an entry that was sent later than
+// what it acknowledged. A probe at an entry that the log no longer holds has no term, so
+// its rejection shows nothing.
+func (c *Core) lacksAcknowledged(m Message, p *progress) bool {
+	return m.Rejected <= p.matchIndex && m.Rejected >= c.compactedIndex && m.SentAt > p.matchSentAt
+}
+
 // handleReject moves nextIndex back to where the member's log may match, and
 // probes the member there. It ignores a rejection that is out of date: one at
 // or below matchIndex, or of another append than the latest probe.
--- a/internal/replicator/stats.go
+++ b/internal/replicator/stats.go
@@ -10,6 +10,9 @@
 	SentSnapshots   uint64 `json:"sentSnapshots"`
 	// Rejections are the answers of members whose log did not match.
 	Rejections uint64 `json:"rejections"`
+	// LostAcknowledged are the rejections of members that lack entries which they had
+	// acknowledged to this leader. It stays zero while disks keep what they have synced.
+	LostAcknowledged uint64 `json:"lostAcknowledged"`
 	// Probes counts how often a member was probed anew, since it was silent or its log did
 	// not match.
 	Probes uint64 `json:"probes"`
@@ -18,11 +21,12 @@
 // Since returns what was counted after earlier.
 func (s Stats) Since(earlier Stats) Stats {
 	return Stats{
-		SentEntries:     s.SentEntries - earlier.SentEntries,
-		RepeatedEntries: s.RepeatedEntries - earlier.RepeatedEntries,
-		SentSnapshots:   s.SentSnapshots - earlier.SentSnapshots,
-		Rejections:      s.Rejections - earlier.Rejections,
-		Probes:          s.Probes - earlier.Probes,
+		SentEntries:      s.SentEntries - earlier.SentEntries,
+		RepeatedEntries:  s.RepeatedEntries - earlier.RepeatedEntries,
+		SentSnapshots:    s.SentSnapshots - earlier.SentSnapshots,
+		Rejections:       s.Rejections - earlier.Rejections,
+		LostAcknowledged: s.LostAcknowledged - earlier.LostAcknowledged,
+		Probes:           s.Probes - earlier.Probes,
 	}
 }
 
