--- a/internal/replicator/cell_test.go
+++ b/internal/replicator/cell_test.go
@@ -64,6 +64,8 @@
 	// messageBudget is how many messages and entries a member reads in a step; zero for
 	// any number. The rest waits in its order.
 	messageBudget int
+	// batches is set if a member handles all messages of a step before it saves.
+	batches bool
 	// bytesPerStep is how many bytes a member reads in a step; zero for any number. A
 	// message that takes longer than sendTimeout is lost.
 	bytesPerStep int
@@ -202,6 +204,11 @@
 			c.t.Fatalf("save to journal: %v", err)
 		}
 		n.core.Advance()
+		for _, m := range r.MessagesAfterSync {
+			if m.Kind == replicator.MessageAppendReply && !m.Reject && m.Term == n.core.Term() && m.Index > n.core.LastIndex() {
+				c.t.Fatalf("member %s acknowledges entry %d in term %d, its log ends at %d", n.id, m.Index, m.Term, n.core.LastIndex())
+			}
+		}
 		c.send(r.MessagesAfterSync)
 		if r.Snapshot != nil {
 			n.applied = r.Snapshot.Index
--- a/internal/replicator/network_test.go
+++ b/internal/replicator/network_test.go
@@ -119,7 +119,9 @@
 		read[n.id] += 1 + len(f.message.Entries)
 		f.message.ArrivedAt = c.clockAt(n, f.arrivesAt)
 		n.core.Step(c.clock(n), f.message)
-		c.handleReady(n)
+		if !c.batches {
+			c.handleReady(n)
+		}
 	}
 	c.inFlight = append(waiting, c.inFlight...)
 }
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -250,13 +250,21 @@
 	}
 	c.recordLeaderContact(m)
 	reply := Message{Kind: MessageSnapshotReply, To: m.From, SentAt: m.SentAt}
-	if m.Snapshot.Index > c.commitIndex {
-		c.installSnapshot(*m.Snapshot)
+	switch s := *m.Snapshot; {
+	case s.Index <= c.commitIndex:
+	case s.Index <= c.lastIndex() && c.termAt(s.Index) == s.Term:
+		// The log agrees with the leader's up to the snapshot. The entries after it may have
+		// been acknowledged, so they stay.
+		c.advanceCommitIndex(s.Index)
+	default:
+		c.installSnapshot(s)
 	}
 	reply.Index = c.commitIndex
 	c.sendAfterSync(reply)
 }
 
+// installSnapshot replaces the state and the whole log. The log must not hold the last entry
+// of the snapshot: any entries after it then differ from the leader's.
 func (c *Core) installSnapshot(s Snapshot) {
 	c.snapshot = s
 	c.pendingSnapshot = &s
