fix: a leader sends again what a member acknowledged and lacks

Cause: handleReject ignores a rejection at or below matchIndex as out of date. One of a message that was sent later than what the member acknowledged is not: the member lacks the entry now. The entries were never sent again, and the rejections renewed the lease, so that no other member was elected.

The commit index never falls. A rejection that an acknowledgement overtook has an earlier SentAt and is ignored as before; one of an entry that the log no longer holds shows nothing and is ignored too.

Test failed before: TestLeaderSendsLostEntriesAgain/a_log_that_ends_below_what_was_acknowledged sent entries again from 0 on after 1 such rejections, want 3 and 1

--- a/internal/replicator/keptentries_test.go
+++ b/internal/replicator/keptentries_test.go
@@ -169,3 +169,59 @@
 		c.run(stepInterval)
 	}
 }
+
+// TestLeaderSendsLostEntriesAgain guards against a leader that never again sends a member the
+// entries that the member acknowledged and lacks, so that no quorum is left without others.
+func TestLeaderSendsLostEntriesAgain(t *testing.T) {
+	t.Parallel()
+	const sentAt = 4 * electionTimeout
+	tests := map[string]struct {
+		rejectedSentAt time.Duration
+		rejected, last uint64
+		// wantFrom is the index of the first entry that m1 is sent again; zero if it is sent none.
+		wantFrom uint64
+		wantLost uint64
+	}{
+		"a log that ends below what was acknowledged":           {rejectedSentAt: sentAt + 1, rejected: 4, last: 2, wantFrom: 3, wantLost: 1},
+		"a rejection that was overtaken by the acknowledgement": {rejectedSentAt: sentAt - 1, rejected: 4, last: 2},
+		"the rejection of a message sent along with it":         {rejectedSentAt: sentAt, rejected: 4, last: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			core := elect(t, replicator.RestoredState{
+				HardState: replicator.HardState{Term: 1},
+				Snapshot:  replicator.Snapshot{Members: threeVoters},
+				Entries:   entriesOfFirstTerm(1, 3),
+			})
+			core.Step(sentAt, replicator.Message{
+				Kind: replicator.MessageAppendReply, From: "m1", To: "m0", Term: core.Term(), SentAt: sentAt, Index: 4,
+			})
+			drainReady(core)
+			core.Step(sentAt+2, replicator.Message{
+				Kind: replicator.MessageAppendReply, From: "m1", To: "m0", Term: core.Term(), SentAt: tt.rejectedSentAt,
+				Reject: true, Rejected: tt.rejected, Index: tt.last,
+			})
+			drainReady(core)
+			// m1 accepts what it is probed with.
+			core.Step(sentAt+3, replicator.Message{
+				Kind: replicator.MessageAppendReply, From: "m1", To: "m0", Term: core.Term(), SentAt: sentAt + 3, Index: tt.last,
+			})
+			var from uint64
+			for core.HasReady() {
+				for _, m := range core.Ready().MessagesBeforeSync {
+					if m.To == "m1" && len(m.Entries) > 0 {
+						from = m.Entries[0].Index
+					}
+				}
+				core.Advance()
+			}
+			if lost := core.Stats().LostAcknowledged; from != tt.wantFrom || lost != tt.wantLost {
+				t.Errorf("sent entries again from %d on after %d such rejections, want %d and %d", from, lost, tt.wantFrom, tt.wantLost)
+			}
+			if core.Commit() != 4 {
+				t.Errorf("commit index is %d, want 4 still", core.Commit())
+			}
+		})
+	}
+}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -17,7 +17,8 @@
 
 // progress is the replication progress of another member, as the leader knows it.
 type progress struct {
-	// matchIndex is the index of the last entry known to be on the member's disk.
+	// matchIndex is the index of the last entry known to be on the member's disk. It falls
+	// only if the member turns out to lack entries that it acknowledged.
 	matchIndex uint64
 	// matchSentAt is the SentAt of the message whose answer raised matchIndex last.
 	matchSentAt time.Duration
@@ -293,7 +294,9 @@
 	if m.Reject {
 		c.stats.Rejections++
 		if c.lacksAcknowledged(m, p) {
+			// What the quorum has committed by these entries stays committed.
 			c.stats.LostAcknowledged++
+			p.matchIndex = min(p.matchIndex, m.Rejected-1, m.Index)
 		}
 		c.handleReject(m, p)
 		return
