fix: a gang that lends nothing on one worker lends on its others

Found by reading the diff of: keep carried the bound of one worker, where another gang lends less, on to all later workers of the gang. Callers would have seen short tasks wait behind two gangs that keep one worker in common.

Test failed before: TestGangThatStartsSoonLendsNothing capacity is lent for map[], want map[w1@1:20s w2@1:20s]

Why this works: the bound is taken by worker. The tests of backfill pass.

--- a/internal/scheduler/backfill_test.go
+++ b/internal/scheduler/backfill_test.go
@@ -1,11 +1,13 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/samphirewick/samphirewick/internal/claimer"
 	"github.com/samphirewick/samphirewick/internal/modeler"
 )
 
@@ -72,6 +74,28 @@
 	}
 }
 
+// TestGangThatStartsSoonLendsNothing guards against a gang that lends what another one needs
+// before, and against one that needs it soon on one worker and so lends nothing on others.
+func TestGangThatStartsSoonLendsNothing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const late = 20 * time.Second
+		f := newFixture(t)
+		f.announce(3)
+		f.submit("guarded", "first", stepOf(1, 2))
+		f.submit("guarded", "second", stepOf(3, 2))
+		f.scheduler.reset()
+		p := newPlan(f.scheduler, f.state)
+		steps := f.scheduler.backlog.ordered(f.state, time.Now())
+		slot := func(key string) claimer.Slot { return claimer.Slot{Key: key} }
+		p.keep(steps[0], []claimer.Slot{slot("w0@1")}, 0)
+		p.keep(steps[1], []claimer.Slot{slot("w0@1"), slot("w1@1"), slot("w2@1")}, late)
+		if got, want := p.lent(), map[string]time.Duration{"w1@1": late, "w2@1": late}; !maps.Equal(got, want) {
+			t.Errorf("capacity is lent for %v, want %v", got, want)
+		}
+	})
+}
+
 // TestGangStartsInTimeWhileShortTasksUseWhatItKeeps guards the other side: short tasks that
 // stream in must not put the gang off.
 func TestGangStartsInTimeWhileShortTasksUseWhatItKeeps(t *testing.T) {
--- a/internal/scheduler/gathering.go
+++ b/internal/scheduler/gathering.go
@@ -318,9 +318,10 @@
 	for _, s := range chosen {
 		c := pool.byKey[s.Key]
 		if _, ok := p.kept[s.Key]; ok {
-			lent = min(lent, c.lent)
+			c.lent = min(c.lent, lent)
+		} else {
+			c.lent = lent
 		}
-		c.lent = lent
 		c.free = c.free.Minus(need)
 		p.kept[s.Key] = p.kept[s.Key].Plus(need)
 	}
