--- a/internal/replicator/keptentries_test.go
+++ b/internal/replicator/keptentries_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// TestFollowerKeepsMembershipOfKeptEntry guards against a snapshot that takes a member back to
+// the membership before an entry that follows it in the log.
+func TestFollowerKeepsMembershipOfKeptEntry(t *testing.T) {
+	t.Parallel()
+	core := newFollower()
+	four := append(slices.Clone(threeVoters), replicator.Member{ID: "m3"})
+	m := appendFrom(6)
+	m.Entries[2].Data, m.Entries[2].Members = nil, four
+	core.Step(0, m)
+	core.Step(0, snapshotOf(1, 7, 1))
+	drainReady(core)
+	if got := core.Members(); !slices.Equal(got, four) {
+		t.Errorf("members %v, want %v", got, four)
+	}
+}
+
 // TestBatchesOfMessagesLoseNoEntries guards against the same in random order: members that
 // handle several messages between two saves, as they do after a freeze.
 func TestBatchesOfMessagesLoseNoEntries(t *testing.T) {
