supervisor: wait for late starts that a third life may carry out

Cause: a start got no answer. Its worker crashed and came back under its id; that second life was told to stop the attempt, answered, and the session of the first one was ended, so that the task started elsewhere. The worker crashed again behind a cut, and its third life, which knows of no stop, carried the start out 4 s late. A stop binds one life: resolveUnlisted allowed for that, cannotStart did not.

The test needs no announcement and no lease to fail.

Why this works: once a later life has answered, a start without a ticket that no life has listed is waited for until no life can carry it out any more, as for a worker that answers in its own life. Attempts that can't start any more end at once, not with the session, so that only the one task waits. A ticket is valid in one life, so starts with one are settled by a stop as before. Price: the worker gets no work for up to 12.3 s (13.3 s after a change of leader) in that case.

Test failed before:

--- FAIL: TestTaskRunsOnceAfterStartStoppedOnLaterLife/under_one_leader lateorder_test.go:129: attempt was committed as ended while the worker ran it --- FAIL: TestTaskRunsOnceAfterStartStoppedOnLaterLife/the_next_leader_meets_a_life lateorder_test.go:129: attempt was committed as ended while the worker ran it

TestLaterLifeReleasesWhatCannotStart passes before, too; it fails if the other tasks wait for the late start.

--- a/internal/supervisor/lateorder_test.go
+++ b/internal/supervisor/lateorder_test.go
@@ -96,6 +96,77 @@
 	}
 }
 
+// TestTaskRunsOnceAfterStartStoppedOnLaterLife guards against a task that is started elsewhere once a
+// later life of its worker has answered a stop: a third life may still carry the start out.
+func TestTaskRunsOnceAfterStartStoppedOnLaterLife(t *testing.T) {
+	tests := map[string]struct {
+		// isLeaderLost is true if another leader follows while the second life is up.
+		isLeaderLost bool
+	}{
+		"under one leader":             {},
+		"the next leader meets a life": {isLeaderLost: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(_ *testing.T, h *harness) {
+				time.Sleep(time.Minute)
+				h.worker.set(func(f *fakeWorker) { f.delayStarts = 11 * time.Second })
+				ctx, cancel := context.WithCancel(h.t.Context())
+				defer cancel()
+				h.supervisor.Start(ctx, StartOrder{Attempt: h.commitStart()})
+				time.Sleep(10 * time.Millisecond)
+				h.restartWorker()
+				if tt.isLeaderLost {
+					h.stop()
+					h.startLeader(2)
+				}
+				polls := h.worker.pollCount()
+				time.Sleep(5 * time.Second)
+				if polls = h.worker.pollCount() - polls; polls > 15 {
+					h.t.Errorf("%d polls in 5 s while the start is waited for, want few", polls)
+				}
+				h.restartWorker()
+				h.cutOffUntilReleased()
+				if h.worker.startCount() != 1 {
+					h.t.Errorf("the third life has carried out %d starts, want 1", h.worker.startCount())
+				}
+			})
+		})
+	}
+}
+
+// TestLaterLifeReleasesWhatCannotStart guards against tasks that wait for the late start of another one
+// on their worker, and against a worker that is kept out for longer than the start may be late.
+func TestLaterLifeReleasesWhatCannotStart(t *testing.T) {
+	tests := map[string]struct {
+		ticket  string
+		longest time.Duration
+	}{
+		"the start has a ticket": {ticket: "k", longest: maxOrderTime + time.Second},
+		"the start has none":     {longest: callTimeout + testOrderDelay + lostPollDelay},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			runSupervised(t, func(t *testing.T, h *harness) {
+				h.startFirst()
+				h.worker.set(func(f *fakeWorker) { f.delayStarts = time.Hour })
+				h.supervisor.Start(t.Context(), StartOrder{Attempt: h.commitStart(), Ticket: tt.ticket})
+				began := time.Now()
+				time.Sleep(10 * time.Millisecond)
+				h.restartWorker()
+				time.Sleep(maxOrderTime + time.Second)
+				if w, _ := h.snapshot().Workflows.Get(firstTask.Workflow); w.HoldsResources() {
+					t.Error("a task that runs nowhere waits for the start of another one")
+				}
+				time.Sleep(tt.longest - time.Since(began))
+				if _, isKept := h.snapshot().Sessions.Get(onlySession); isKept {
+					t.Errorf("the session was kept for longer than %v", tt.longest)
+				}
+			})
+		})
+	}
+}
+
 // TestStoppedStartIsReleasedSoon guards against tasks that wait for a late start which no later life
 // can carry out, and against tasks that wait for good.
 func TestStoppedStartIsReleasedSoon(t *testing.T) {
--- a/internal/supervisor/link.go
+++ b/internal/supervisor/link.go
@@ -129,16 +129,22 @@
 	for _, name := range tasks {
 		w, _ := state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
-		queue, _ := state.QueueTable.Queue(w.Spec.Queue)
 		isListed := l.supervisor.options.WasListed(modeler.Attempt{Task: name, Session: l.session.Key(), Number: task.Attempt})
 		l.orders[name] = &order{
 			number: task.Attempt, phase: orderInherited, isInherited: true, sentAt: l.supervisor.options.StartedBy(name),
-			hasTicket: queue.Permit != nil, isListed: isListed, isReported: isListed, hasBegun: isListed,
+			hasTicket: needsTicket(state, name), isListed: isListed, isReported: isListed, hasBegun: isListed,
 		}
 	}
 	return l
 }
 
+// needsTicket reports whether a start of the task carries a permit, by the queue as it is in the state.
+func needsTicket(state reducer.State, name modeler.TaskName) bool {
+	w, _ := state.Workflows.Get(name.Workflow)
+	queue, _ := state.QueueTable.Queue(w.Spec.Queue)
+	return queue.Permit != nil
+}
+
 func (l *link) now() time.Duration { return l.supervisor.options.Now() }
 
 func (l *link) log() *zap.Logger { return l.supervisor.options.Log }
@@ -246,7 +252,7 @@
 		case orderUnconfirmed:
 			return shortPollWait
 		case orderFenced, orderInherited:
-			if !l.mayStartLaterLocked(o) {
+			if l.mayStartLaterForLocked(o) <= 0 {
 				return shortPollWait
 			}
 		default:
--- a/internal/supervisor/observation.go
+++ b/internal/supervisor/observation.go
@@ -183,7 +183,7 @@
 		l.mutex.Unlock()
 		return "", false
 	}
-	phase, since, mayStartLater := o.phase, o.since, l.mayStartLaterLocked(o)
+	phase, since, mayStartLater := o.phase, o.since, l.mayStartLaterForLocked(o) > 0
 	l.mutex.Unlock()
 	switch phase {
 	case orderInherited:
--- a/internal/supervisor/otherlife.go
+++ b/internal/supervisor/otherlife.go
@@ -61,14 +61,17 @@
 	return min(l.supervisor.options.Since+maxOrderTime, o.sentAt+otherLifeTime+l.supervisor.options.OrderDelay)
 }
 
-// mayStartLaterLocked reports whether a later life of the worker may still carry out a start that
-// the session's life can't carry out any more. A stop and a fence bind one life. So does a
-// ticket, which was issued for this one, as it has answered since; and one that was listed has been
-// carried out. The caller holds the mutex.
-func (l *link) mayStartLaterLocked(o *order) bool {
+// mayStartLaterForLocked returns for how long a later life of the worker may still carry out a start
+// that the present life can't carry out any more; zero or less if it can't either. A stop and a
+// fence bind one life. So does a ticket, which was issued for this one, as it has answered since;
+// and one that was listed has been carried out. The caller holds the mutex.
+func (l *link) mayStartLaterForLocked(o *order) time.Duration {
+	if o.hasTicket || o.isListed {
+		return 0
+	}
 	sentBy := o.sentAt + callTimeout
 	if o.isInherited {
 		sentBy = o.sentAt + maxStartTime
 	}
-	return !o.hasTicket && !o.isListed && l.now() < sentBy+l.supervisor.options.OrderDelay
+	return sentBy + l.supervisor.options.OrderDelay - l.now()
 }
--- a/internal/supervisor/replacement.go
+++ b/internal/supervisor/replacement.go
@@ -17,8 +17,8 @@
 
 // handleLaterLife acts on the answer of a later life of the worker. Starts that were sent
 // to the session may have reached that life, as it has the same id and address. The
-// session ends only once none of its attempts runs there or can start there, because the
-// end makes their tasks start elsewhere.
+// session ends only once none of its attempts runs there, or can start there or on a still
+// later life, because the end makes their tasks start elsewhere.
 func (l *link) handleLaterLife(ctx context.Context, sent time.Duration, result PollResult) {
 	l.recordReplacement(result)
 	obs := newObservation(sent, result, l.supervisor.options.State())
@@ -26,34 +26,57 @@
 	if !ok {
 		return
 	}
-	isSettled := result.Full
-	var ends []reducer.AttemptEnd
+	ends, retryIn := l.settleAttempts(ctx, session, obs)
+	if len(ends) > 0 && l.supervisor.ends.commit(ctx, ends) != nil {
+		waitToRetry(ctx)
+		return
+	}
+	if retryIn > 0 {
+		wait(ctx, retryIn)
+		return
+	}
+	l.endSession(ctx, fmt.Errorf("%w: it started at %d", ErrOtherIncarnation, result.StartedAtMillis))
+}
+
+// settleAttempts returns the ends of the session's attempts that are over, and in what time the
+// others are to be looked at again; zero if there are none.
+func (l *link) settleAttempts(
+	ctx context.Context, session modeler.Session, obs observation,
+) ([]reducer.AttemptEnd, time.Duration) {
+	var listed, unlisted []reducer.AttemptEnd
+	retryIn := time.Duration(0)
+	if !obs.result.Full {
+		retryIn = pollRetryDelay
+	}
 	for _, name := range session.Tasks {
 		w, _ := obs.state.Workflows.Get(name.Workflow)
 		task, _ := w.Task(name)
 		a := modeler.Attempt{Task: name, Session: session.Key(), Number: task.Attempt}
 		if end, ok := obs.endOf(a); ok {
-			ends = append(ends, end)
+			listed = append(listed, end)
 			continue
 		}
+		delay := pollRetryDelay
 		if r, ok := obs.running[name]; ok && r.Number == a.Number {
 			l.log().Warn("attempt runs on a later life of its worker", zap.Stringer("task", a.Task),
 				zap.Int("attempt", a.Number), zap.String("session", a.Session))
 			l.recordBegin(a)
 			l.requestStop(ctx, a)
-			isSettled = false
+		} else if delay = l.mayStartFor(ctx, a, obs); delay <= 0 {
+			unlisted = append(unlisted, reducer.AttemptEnd{
+				Attempt: a, Outcome: l.lapsedOutcome(a), Checkpoint: l.checkpointOf(name, a.Number),
+			})
 			continue
 		}
-		isSettled = l.cannotStart(ctx, a, obs) && isSettled
-	}
-	if len(ends) > 0 && l.supervisor.ends.commit(ctx, ends) != nil {
-		isSettled = false
+		if retryIn == 0 || delay < retryIn {
+			retryIn = delay
+		}
 	}
-	if !isSettled {
-		waitToRetry(ctx)
-		return
+	if retryIn > 0 && obs.result.Full {
+		// Otherwise the end of the session ends them.
+		listed = append(listed, unlisted...)
 	}
-	l.endSession(ctx, fmt.Errorf("%w: it started at %d", ErrOtherIncarnation, result.StartedAtMillis))
+	return listed, min(retryIn, lostPollDelay)
 }
 
 // recordReplacement blocks further starts. A stop that the earlier life has answered
@@ -79,28 +102,37 @@
 	}
 }
 
-// cannotStart reports whether an attempt that the later life does not list can't start
-// there any more. If that is open, it tells the worker to stop the attempt.
-func (l *link) cannotStart(ctx context.Context, a modeler.Attempt, obs observation) bool {
+// mayStartFor returns for how long an attempt that the later life does not list may still start
+// there or on a still later one; zero or less if it can't. If a stop settles that, it tells the
+// worker to stop the attempt.
+func (l *link) mayStartFor(ctx context.Context, a modeler.Attempt, obs observation) time.Duration {
 	l.mutex.Lock()
 	o, ok := l.orders[a.Task]
 	if !ok || o.number != a.Number {
-		o = &order{number: a.Number, phase: orderUnconfirmed, since: l.now(), sentAt: l.now()}
+		o = &order{
+			number: a.Number, phase: orderUnconfirmed, since: l.now(), sentAt: l.now(), hasTicket: needsTicket(obs.state, a.Task),
+		}
 		l.orders[a.Task] = o
 	}
-	phase, since := o.phase, o.since
+	phase, since, later := o.phase, o.since, l.mayStartLaterForLocked(o)
 	l.mutex.Unlock()
 	switch phase {
 	case orderInherited:
 		// The poll fenced the earlier leader before the worker answered it.
-		return true
-	case orderStarted, orderFenced:
-		return obs.sent > since
+		return later
+	case orderFenced:
+		if obs.sent > since {
+			return later
+		}
+	case orderStarted:
+		if obs.sent > since {
+			return 0
+		}
 	case orderUnconfirmed:
 		l.requestStop(ctx, a)
 	case orderSending:
 	}
-	return false
+	return pollRetryDelay
 }
 
 // endOf returns the end of the attempt that the poll lists, if it does.
